--- /dev/null
+++ b/Makefile
@@ -0,0 +1,67 @@
+# pistachiospur's build. `make help` lists the targets.
+CXX ?= g++
+CXXFLAGS ?= -O2 -g1
+BUILD ?= build
+FLAGS := -std=c++17 -Wall -Wextra -Werror -MMD -MP -Iinclude -Isrc -DBOOST_TEST_DYN_LINK
+LIBS := -lev -lmicrohttpd -lcurl -lprometheus-cpp-core -llog4cplus -lxxhash $(shell pkg-config --libs absl_flags absl_flags_parse absl_flags_usage absl_strings)
+PACKAGES := g++ make pkg-config clang-format clang-tidy libev-dev libwebsocketpp-dev prometheus-cpp-dev \
+	libcurl4-openssl-dev libmicrohttpd-dev libabsl-dev liblog4cplus-dev libboost1.81-dev libboost-test1.81-dev \
+	nlohmann-json3-dev librapidcheck-dev libxxhash-dev spin curl
+
+LIB_SOURCES := $(filter-out src/daemon/main.cpp src/cli/%,$(wildcard src/*/*.cpp))
+CLI_SOURCES := $(wildcard src/cli/*.cpp)
+STANDIN_SOURCES := $(wildcard standins/*.cpp)
+TEST_SOURCES := $(wildcard tests/*.cpp)
+BENCH_SOURCES := $(wildcard bench/*.cpp)
+ALL_SOURCES := $(LIB_SOURCES) src/daemon/main.cpp $(CLI_SOURCES) $(STANDIN_SOURCES) $(TEST_SOURCES) $(BENCH_SOURCES)
+ALL_HEADERS := $(wildcard include/*/*.h src/*/*.h standins/*.h tests/*.h bench/*.h)
+object = $(patsubst %.cpp,$(BUILD)/%.o,$(1))
+
+STANDINS := $(BUILD)/standin-store $(BUILD)/standin-hosts $(BUILD)/standin-upstream
+PROGRAMS := $(BUILD)/pistachiospurd $(BUILD)/pistachiospur
+
+.PHONY: help build install demo check test properties models format lint capacity bench clean end-to-end
+.DEFAULT_GOAL := help
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 14
+
+install: ## install the Debian packages that are missing (needs root)
+	@missing=""; for it in $(PACKAGES); do dpkg -s $$it >/dev/null 2>&1 || missing="$$missing $$it"; done; \
+	if [ -n "$$missing" ]; then apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $$missing; fi
+
+build: $(PROGRAMS) $(STANDINS) ## build the daemon, the command-line tool and the stand-ins
+
+$(BUILD)/%.o: %.cpp
+	@mkdir -p $(@D)
+	$(CXX) $(FLAGS) $(CXXFLAGS) -c $< -o $@
+
+$(BUILD)/libpistachiospur.a: $(call object,$(LIB_SOURCES))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/pistachiospurd: $(call object,src/daemon/main.cpp) $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -o $@
+
+$(BUILD)/pistachiospur: $(call object,$(CLI_SOURCES)) $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -o $@
+
+$(STANDINS): $(BUILD)/standin-%: $(BUILD)/standins/%.o $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -o $@
+
+$(BUILD)/unit-tests: $(call object,$(TEST_SOURCES)) $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -lboost_unit_test_framework -lrapidcheck -o $@
+
+$(BUILD)/capacity: $(call object,bench/capacity.cpp) $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -o $@
+
+$(BUILD)/demo: $(BUILD)/standins/demo.o $(BUILD)/standins/site.o $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -o $@
+
+demo: install build $(BUILD)/demo ## install what is missing, build, run a whole site on loopback and stop it
+	timeout 120 $(BUILD)/demo $(BUILD)
+
+clean: ## remove what was built
+	rm -rf $(BUILD)
+
+-include $(patsubst %.o,%.d,$(call object,$(ALL_SOURCES)))
--- /dev/null
+++ b/src/cli/bench.cpp
@@ -0,0 +1,271 @@
+#include "bench.h"
+
+#include "ownership/plan.h"
+#include "ownership/recovery.h"
+#include "requests/queue.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <random>
+#include <xxhash.h>
+
+namespace pistachiospur {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20040627;
+constexpr Millis kWarmUp { 5000 };
+constexpr Millis kLength { 65000 };
+
+class Signature {
+public:
+    void add(std::uint64_t n) { m_value = XXH64(&n, sizeof n, m_value); }
+    std::uint64_t value() const { return m_value; }
+
+private:
+    XXH64_hash_t m_value = 0;
+};
+
+// One rank's traffic to one upstream of the brief: two slots.
+struct Load {
+    RankOrder order;
+    const char* rank;
+    double perSecond;
+    double meanRunMs;
+    Millis deadline;
+};
+
+struct Scenario {
+    const char* name;
+    std::vector<Load> loads;
+    double slowdown = 1; // of every run
+};
+
+constexpr unsigned kSlots = 2;
+
+std::vector<Load> calmLoads()
+{
+    return { { 0, "booking", 8, 20, Millis(3000) }, { 1, "hold", 12, 20, Millis(6000) },
+        { 2, "browse", 30, 15, Millis(1500) } };
+}
+
+// Rates that fill the upstream ten times over.
+std::vector<Scenario> scenarios()
+{
+    std::vector<Scenario> list = { { "calm", calmLoads() }, { "lowest-rank flood", calmLoads() },
+        { "highest-rank flood", calmLoads() }, { "slow upstream", calmLoads(), 3 } };
+    list[1].loads[2].perSecond = 10 * kSlots * 1000 / list[1].loads[2].meanRunMs;
+    list[2].loads[0].perSecond = 10 * kSlots * 1000 / list[2].loads[0].meanRunMs;
+    return list;
+}
+
+enum class Policy { ours, fifo, strictPriority };
+constexpr const char* kPolicies[] = { "ours", "fifo", "strict" };
+
+struct Arrival {
+    Millis at;
+    std::size_t load;
+    double runMs;
+};
+
+std::vector<Arrival> arrivals(const Scenario& scenario, std::mt19937_64& random)
+{
+    std::vector<Arrival> list;
+    for (std::size_t n = 0; n < scenario.loads.size(); ++n) {
+        const Load& load = scenario.loads[n];
+        std::exponential_distribution<double> gap(load.perSecond / 1000), run(1 / load.meanRunMs);
+        double at = gap(random);
+        while (at < static_cast<double>(kLength.count())) {
+            list.push_back({ Millis(static_cast<std::int64_t>(at)), n, 1 + run(random) * scenario.slowdown });
+            at += gap(random);
+        }
+    }
+    std::stable_sort(list.begin(), list.end(), [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+    return list;
+}
+
+// The baselines use the same queue with the parts under test taken out: one rank for all, or shares of nothing.
+class Experiment {
+public:
+    Experiment(const Scenario& scenario, Policy policy, Signature& signature)
+        : m_scenario(scenario)
+        , m_policy(policy)
+        , m_signature(signature)
+        , m_latencies(scenario.loads.size())
+        , m_outcomes(scenario.loads.size())
+    {
+        m_queuePolicy.slots = kSlots;
+        m_queuePolicy.perRank = policy == Policy::fifo ? 768 : 256;
+        const double shares[] = { 0.1, 0.1, 0.1 };
+        for (const auto& it : scenario.loads)
+            m_queuePolicy.shares[orderOf(it)] = policy == Policy::ours ? shares[it.order] : 0;
+    }
+
+    ScenarioOutcome run(const std::vector<Arrival>& list)
+    {
+        for (std::size_t n = 0; n < list.size(); ++n) {
+            runUntil(list, list[n].at);
+            arrive(list, n);
+        }
+        runUntil(list, kLength + Millis(60000));
+        return summarize();
+    }
+
+private:
+    RankOrder orderOf(const Load& load) const { return m_policy == Policy::fifo ? RankOrder(0) : load.order; }
+
+    void arrive(const std::vector<Arrival>& list, std::size_t n)
+    {
+        const Arrival& it = list[n];
+        const Load& load = m_scenario.loads[it.load];
+        if (counts(it))
+            ++m_outcomes[it.load].offered;
+        const auto refusal = enqueue(m_queue, m_queuePolicy, { n, orderOf(load), it.at + load.deadline }, it.at);
+        m_signature.add(n * 2 + refusal.has_value());
+        if (refusal && counts(it))
+            ++m_outcomes[it.load].refused;
+        startAll(list, it.at);
+    }
+
+    bool counts(const Arrival& it) const { return it.at >= kWarmUp; }
+
+    void startAll(const std::vector<Arrival>& list, Millis now)
+    {
+        for (const auto& late : dropLate(m_queue, now)) {
+            if (counts(list[late.id]))
+                ++m_outcomes[list[late.id].load].late;
+        }
+        while (const auto next = startNext(m_queue, m_queuePolicy, now)) {
+            const auto run = Millis(static_cast<std::int64_t>(list[next->id].runMs));
+            m_running.push({ now + run, next->id, now });
+        }
+    }
+
+    void runUntil(const std::vector<Arrival>& list, Millis until)
+    {
+        while (!m_running.empty() && m_running.top().endsAt <= until) {
+            const Running done = m_running.top();
+            m_running.pop();
+            const Arrival& it = list[done.id];
+            const Load& load = m_scenario.loads[it.load];
+            finishRun(m_queue, orderOf(load), done.endsAt - done.startedAt);
+            m_signature.add(done.id);
+            if (counts(it)) {
+                const Millis took = done.endsAt - it.at;
+                ++(took <= load.deadline ? m_outcomes[it.load].served : m_outcomes[it.load].late);
+                m_latencies[it.load].push_back(static_cast<double>(took.count()));
+            }
+            startAll(list, done.endsAt);
+        }
+    }
+
+    ScenarioOutcome summarize()
+    {
+        ScenarioOutcome outcome { m_scenario.name, kPolicies[static_cast<int>(m_policy)], {} };
+        for (std::size_t n = 0; n < m_scenario.loads.size(); ++n) {
+            auto& latencies = m_latencies[n];
+            std::sort(latencies.begin(), latencies.end());
+            RankOutcome rank = m_outcomes[n];
+            rank.rank = m_scenario.loads[n].rank;
+            if (!latencies.empty()) {
+                rank.p50Ms = latencies[latencies.size() / 2];
+                rank.p99Ms = latencies[latencies.size() * 99 / 100];
+            }
+            outcome.ranks.push_back(rank);
+        }
+        return outcome;
+    }
+
+    struct Running {
+        Millis endsAt;
+        std::uint64_t id;
+        Millis startedAt;
+        friend bool operator>(const Running& a, const Running& b)
+        {
+            return std::tie(a.endsAt, a.id) > std::tie(b.endsAt, b.id);
+        }
+    };
+
+    const Scenario& m_scenario;
+    Policy m_policy;
+    Signature& m_signature;
+    QueuePolicy m_queuePolicy;
+    UpstreamQueue m_queue;
+    std::priority_queue<Running, std::vector<Running>, std::greater<>> m_running;
+    std::vector<std::vector<double>> m_latencies;
+    std::vector<RankOutcome> m_outcomes;
+};
+
+// Places a service, loses upstreams one by one, and folds every move into the signature.
+void signPlacement(Signature& signature)
+{
+    OwnershipTable table;
+    const ServiceName service = "atelier";
+    std::vector<UpstreamName> targets;
+    for (int n = 0; n < 30; ++n)
+        targets.push_back("atelier-" + std::to_string(10 + n));
+    constexpr std::uint32_t slots = 4096;
+    for (int round = 0; round < 4; ++round) {
+        auto& records = table.services[service].slots;
+        records.resize(slots);
+        for (const auto& it : planMoves(table, service, { slots, targets })) {
+            records[it.slot.value].owner = table.names.indexOf(it.to);
+            records[it.slot.value].epoch = records[it.slot.value].epoch.next();
+            signature.add(std::uint64_t(it.slot.value) << 32 | records[it.slot.value].owner.value);
+        }
+        targets.erase(targets.begin() + 3);
+    }
+}
+
+} // namespace
+
+BenchResult runBench()
+{
+    BenchResult result;
+    Signature signature;
+    signPlacement(signature);
+    for (const auto& scenario : scenarios()) {
+        std::mt19937_64 random(kSeed);
+        const auto list = arrivals(scenario, random);
+        for (const Policy policy : { Policy::ours, Policy::fifo, Policy::strictPriority })
+            result.scenarios.push_back(Experiment(scenario, policy, signature).run(list));
+    }
+    result.signature = signature.value();
+    return result;
+}
+
+std::string benchTable(const BenchResult& result)
+{
+    char buf[200];
+    std::snprintf(buf, sizeof buf, "%-19s %-7s %-8s %8s %8s %8s %8s %8s %8s\n", "scenario", "policy", "rank", "offered",
+        "served", "late", "refused", "p50 ms", "p99 ms");
+    std::string table = buf;
+    for (const auto& scenario : result.scenarios) {
+        for (const auto& it : scenario.ranks) {
+            std::snprintf(buf, sizeof buf, "%-19s %-7s %-8s %8llu %8llu %8llu %8llu %8.0f %8.0f\n",
+                scenario.scenario.c_str(), scenario.policy.c_str(), it.rank.c_str(),
+                static_cast<unsigned long long>(it.offered), static_cast<unsigned long long>(it.served),
+                static_cast<unsigned long long>(it.late), static_cast<unsigned long long>(it.refused), it.p50Ms, it.p99Ms);
+            table += buf;
+        }
+    }
+    std::snprintf(buf, sizeof buf, "signature %016llx\n", static_cast<unsigned long long>(result.signature));
+    return table + buf;
+}
+
+Json benchJson(const BenchResult& result)
+{
+    Json list = Json::array();
+    for (const auto& scenario : result.scenarios) {
+        for (const auto& it : scenario.ranks)
+            list.push_back({ { "scenario", scenario.scenario }, { "policy", scenario.policy }, { "rank", it.rank },
+                { "offered", it.offered }, { "served", it.served }, { "late", it.late }, { "refused", it.refused },
+                { "p50_ms", it.p50Ms }, { "p99_ms", it.p99Ms } });
+    }
+    char buf[17];
+    std::snprintf(buf, sizeof buf, "%016llx", static_cast<unsigned long long>(result.signature));
+    return { { "signature", buf }, { "rows", list } };
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/daemon/admin.cpp
@@ -0,0 +1,163 @@
+#include "admin.h"
+
+#include "config/fields.h"
+
+namespace pistachiospur {
+
+namespace {
+
+HttpResponse jsonResponse(const Json& body, int status = 200)
+{
+    return { status, { { "Content-Type", "application/json" } }, body.dump() + "\n" };
+}
+
+const char* stateName(HostState state)
+{
+    return state == HostState::alive ? "alive" : state == HostState::suspect ? "suspect" : "dead";
+}
+
+} // namespace
+
+Admin::Admin(Node& node, Coordinators& coordinators, const Entry& entry, std::function<void()> onDrain)
+    : m_node(node)
+    , m_coordinators(coordinators)
+    , m_entry(entry)
+    , m_onDrain(std::move(onDrain))
+{
+}
+
+HttpResponse Admin::answer(const HttpRequest& request)
+{
+    if (request.path == "/healthz")
+        return { 200, {}, "ok\n" };
+    if (request.path == "/readyz")
+        return ready();
+    if (request.path == "/metrics")
+        return metrics();
+    if (request.path == "/status")
+        return status();
+    if (request.path == "/owner")
+        return owner(request);
+    if (request.path == "/burn")
+        return burn();
+    if (request.path == "/drain" && request.method == "POST") {
+        m_onDrain();
+        return jsonResponse({ { "draining", true } }, 202);
+    }
+    return jsonResponse({ { "error", "no-such-page" } }, 404);
+}
+
+HttpResponse Admin::ready() const
+{
+    if (m_node.stopping)
+        return { 503, {}, "stopping\n" };
+    if (m_node.view.head.revision.value == 0)
+        return { 503, {}, "no configuration yet\n" };
+    return { 200, {}, "ready\n" };
+}
+
+HttpResponse Admin::metrics()
+{
+    m_coordinators.publishMetrics();
+    auto& metrics = m_node.metrics;
+    metrics.set("pistachiospur_peer_links", {}, static_cast<double>(m_node.hub.linkCount()));
+    const auto raise = [&](const char* name, double total) { metrics.count(name, {}, total - metrics.counterValue(name)); };
+    raise("pistachiospur_peer_messages_total", static_cast<double>(m_node.hub.sentMessages()));
+    raise("pistachiospur_peer_bytes_total", static_cast<double>(m_node.hub.sentBytes()));
+    const Millis now = monotonicNow();
+    double quarantined = 0;
+    for (const auto& [fingerprint, suspect] : m_node.quarantine.suspects)
+        quarantined += isQuarantined(m_node.quarantine, fingerprint, now);
+    metrics.set("pistachiospur_quarantined", {}, quarantined);
+    for (const auto& [name, service] : m_node.view.configuration.services) {
+        for (const auto& [upstream, n] : ownedCounts(m_node.view.ownership, name))
+            metrics.set("pistachiospur_owned_slots", { { "upstream", upstream } }, static_cast<double>(n));
+    }
+    for (const auto& [key, series] : m_node.burn) {
+        const auto rank = m_node.view.configuration.ranks.find(key.second);
+        if (rank == m_node.view.configuration.ranks.end())
+            continue;
+        for (const auto& window : kBurnWindows)
+            metrics.set("pistachiospur_burn_rate",
+                { { "service", key.first }, { "rank", key.second }, { "window", window.name } },
+                burnRate(countsWithin(series, window.length, now), rank->second.objective));
+    }
+    return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text() };
+}
+
+HttpResponse Admin::status() const
+{
+    Json hosts = Json::array();
+    const auto& members = m_node.members;
+    hosts.push_back({ { "host", members.self }, { "data_centre", members.own.dataCentre },
+        { "state", m_node.stopping ? "stopping" : "alive" } });
+    for (const auto& [name, member] : members.hosts)
+        hosts.push_back({ { "host", name }, { "data_centre", member.listed.dataCentre },
+            { "state", member.leaving ? "leaving" : stateName(member.state) } });
+    Json upstreams = Json::array();
+    std::map<UpstreamName, std::size_t> slots;
+    for (const auto& [name, service] : m_node.view.configuration.services) {
+        for (const auto& [upstream, n] : ownedCounts(m_node.view.ownership, name))
+            slots[upstream] = n;
+    }
+    for (const auto& [name, record] : m_node.view.ownership.upstreams) {
+        const auto object = m_node.view.configuration.upstreams.find(name);
+        upstreams.push_back({ { "upstream", name }, { "state", record.state == UpstreamState::lost ? "lost" : "serving" },
+            { "draining", object != m_node.view.configuration.upstreams.end() && object->second.draining },
+            { "fence", record.fence.value }, { "renewers", record.renewers }, { "slots", slots[name] },
+            { "coordinated_here", m_coordinators.coordinates(name) } });
+    }
+    return jsonResponse({ { "host", members.self }, { "config_revision", m_node.view.head.revision.value },
+        { "config_digest", m_node.view.head.digest }, { "config_whole", isWhole(m_node.view) },
+        { "store_revision", m_node.replica.revision.value }, { "store_read", m_node.readFromStore },
+        { "pending", m_entry.pendingCount() }, { "jobs", m_coordinators.jobCount() }, { "hosts", hosts },
+        { "upstreams", upstreams } });
+}
+
+HttpResponse Admin::owner(const HttpRequest& request) const
+{
+    const auto service = request.query.find("service");
+    const auto key = request.query.find("key");
+    if (service == request.query.end() || key == request.query.end())
+        return jsonResponse({ { "error", "service-and-key-needed" } }, 400);
+    const auto object = m_node.view.configuration.services.find(service->second);
+    if (object == m_node.view.configuration.services.end())
+        return jsonResponse({ { "error", "unknown-service" } }, 404);
+    const SlotId slot = slotOf(key->second, object->second.slots);
+    const auto& ownership = m_node.view.ownership;
+    const auto table = ownership.services.find(service->second);
+    const bool known = table != ownership.services.end() && slot.value < table->second.slots.size();
+    const SlotRecord record = known ? table->second.slots[slot.value] : SlotRecord {};
+    const auto standing = ownership.upstreams.find(ownership.names.nameOf(record.owner));
+    Json body = { { "service", service->second }, { "key", key->second }, { "slot", slot.value },
+        { "owner", nullptr }, { "epoch", record.epoch.value } };
+    if (record.owner != kNoUpstream)
+        body["owner"] = ownership.names.nameOf(record.owner);
+    if (record.movingTo != kNoUpstream)
+        body["moving_to"] = ownership.names.nameOf(record.movingTo);
+    if (standing != ownership.upstreams.end())
+        body["renewers"] = standing->second.renewers;
+    return jsonResponse(body);
+}
+
+HttpResponse Admin::burn() const
+{
+    const Millis now = monotonicNow();
+    Json rows = Json::array();
+    for (const auto& [key, series] : m_node.burn) {
+        const auto rank = m_node.view.configuration.ranks.find(key.second);
+        if (rank == m_node.view.configuration.ranks.end())
+            continue;
+        Json windows = Json::object();
+        for (const auto& window : kBurnWindows) {
+            const auto counts = countsWithin(series, window.length, now);
+            windows[window.name] = { { "good", counts.good }, { "bad", counts.bad } };
+        }
+        rows.push_back({ { "service", key.first }, { "rank", key.second }, { "order", rank->second.order },
+            { "target_ms", rank->second.target.count() }, { "objective", rank->second.objective },
+            { "good", series.total.good }, { "bad", series.total.bad }, { "windows", windows } });
+    }
+    return jsonResponse({ { "host", m_node.members.self }, { "rows", rows } });
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/daemon/coordinator.cpp
@@ -0,0 +1,432 @@
+#include "coordinator.h"
+
+#include "observe/log.h"
+#include "ownership/plan.h"
+#include "platform/upstream.h"
+
+#include <algorithm>
+
+namespace pistachiospur {
+
+namespace {
+
+constexpr Millis kReportAgain { 200 };
+// Reports to one planner before the next one in order is told.
+constexpr unsigned kReportsPerPlanner = 4;
+
+} // namespace
+
+HostName plannerOf(const Node& node, const ServiceName& service, unsigned skipped)
+{
+    const auto order = plannerOrder(service, liveHosts(node.members));
+    return order.empty() ? HostName {} : order[skipped % order.size()];
+}
+
+Coordinators::Coordinators(Node& node)
+    : m_node(node)
+{
+}
+
+Coordinators::Runner* Coordinators::find(const UpstreamName& name)
+{
+    const auto it = m_runners.find(name);
+    return it == m_runners.end() ? nullptr : it->second.get();
+}
+
+Coordinators::Runner& Coordinators::runnerOf(const UpstreamName& name)
+{
+    auto& runner = m_runners[name];
+    if (!runner) {
+        runner = std::make_unique<Runner>();
+        runner->upstream.name = name;
+        runner->renewer.holder = m_node.settings.host + "#" + std::to_string(m_node.self.incarnation.value);
+        // An earlier run of this host's process may have renewed until just before this one began.
+        runner->renewer.grantBound = limit(m_node, &Limits::grantTtlMs);
+        runner->memory.completeSince = wallNow();
+    }
+    return *runner;
+}
+
+bool Coordinators::coordinates(const UpstreamName& name) const
+{
+    const auto it = m_runners.find(name);
+    return it != m_runners.end() && it->second->renewer.established;
+}
+
+// Following the view -----------------------------------------------------------------------------------------------
+
+void Coordinators::refresh()
+{
+    std::map<UpstreamName, bool> kept;
+    const auto& configuration = m_node.view.configuration;
+    for (const auto& [name, placement] : configuration.placements) {
+        for (const auto& upstream : placement.upstreams) {
+            const auto object = configuration.upstreams.find(upstream);
+            const auto record = m_node.view.ownership.upstreams.find(upstream);
+            if (object == configuration.upstreams.end() || record == m_node.view.ownership.upstreams.end())
+                continue;
+            const auto& renewers = record->second.renewers;
+            const bool mine = std::find(renewers.begin(), renewers.end(), m_node.members.self) != renewers.end();
+            if (!mine && !find(upstream))
+                continue;
+            refreshRunner(placement, object->second, record->second);
+            kept[upstream] = true;
+        }
+    }
+    for (auto& [name, runner] : m_runners) {
+        if (!kept.count(name)) {
+            stopCoordinating(runner->renewer);
+            refuseWaiting(*runner, RefusalReason::noOwner);
+        }
+    }
+}
+
+// A host renews only what the store's record entitles it to, only after it has read the store itself, and never under
+// a fence that it has promised to respect.
+bool Coordinators::mayRenew(const Runner& runner, const UpstreamRecord& record) const
+{
+    const auto& renewers = record.renewers;
+    const bool named = std::find(renewers.begin(), renewers.end(), m_node.members.self) != renewers.end();
+    return named && m_node.readFromStore && record.state == UpstreamState::serving && record.fence > runner.promised;
+}
+
+bool Coordinators::isPreferred(const UpstreamRecord& record) const
+{
+    if (m_node.stopping)
+        return false;
+    for (const auto& it : record.renewers) {
+        if (it == m_node.members.self)
+            return true;
+        if (isAlive(m_node.members, it) && !isLeaving(m_node.members, it))
+            return false;
+    }
+    return false;
+}
+
+void Coordinators::refreshRunner(const Placement& placement, const Upstream& upstream, const UpstreamRecord& record)
+{
+    const Millis now = monotonicNow();
+    Runner* runner = &runnerOf(upstream.name);
+    runner->upstream = upstream;
+    runner->service = placement.service;
+    runner->policy.slots = upstream.slots;
+    runner->policy.perRank = static_cast<std::size_t>(m_node.settings.limits.queuePerRank);
+    runner->policy.shares.clear();
+    for (const auto& [name, rank] : m_node.view.configuration.ranks)
+        runner->policy.shares[rank.order] = rank.share;
+    runner->probing = record.state == UpstreamState::lost && isPreferred(record);
+    if (!mayRenew(*runner, record) || !isPreferred(record)) {
+        const bool was = runner->renewer.coordinating;
+        stopCoordinating(runner->renewer);
+        if (was)
+            logInfo("stopped coordinating " + upstream.name);
+        refuseWaiting(*runner, record.state == UpstreamState::lost ? RefusalReason::noOwner : RefusalReason::notCoordinator);
+        return;
+    }
+    startCoordinating(runner->renewer, now);
+    followSlots(*runner, now);
+    pump(*runner);
+}
+
+void Coordinators::followSlots(Runner& runner, Millis now)
+{
+    auto slots = slotsToGrant(m_node.view.ownership, runner.service, runner.upstream.name);
+    for (const auto& it : slots) {
+        auto& [epoch, since] = runner.since[it.slot];
+        if (epoch == it.epoch)
+            continue;
+        epoch = it.epoch;
+        since = it.epoch.value > 1 ? wallNow() : Millis(0);
+    }
+    setSlots(runner.renewer, std::move(slots), now);
+}
+
+void Coordinators::refuseWaiting(Runner& runner, RefusalReason reason)
+{
+    for (const auto& it : drainWaiting(runner.queue))
+        finish(runner, it.id, notRun(reason));
+}
+
+// Renewals ---------------------------------------------------------------------------------------------------------
+
+void Coordinators::tick()
+{
+    const Millis now = monotonicNow();
+    for (auto& [name, runner] : m_runners) {
+        renew(*runner, now);
+        for (const auto& it : dropLate(runner->queue, now))
+            finish(*runner, it.id, notRun(RefusalReason::deadlinePassed));
+        report(*runner, now);
+        probe(*runner, now);
+        pump(*runner);
+    }
+}
+
+void Coordinators::renew(Runner& runner, Millis now)
+{
+    const RenewerTiming timing { limit(m_node, &Limits::grantTtlMs), limit(m_node, &Limits::renewalIntervalMs),
+        limit(m_node, &Limits::renewalTimeoutMs) };
+    const auto renewal = dueRenewal(runner.renewer, timing, now);
+    if (!renewal)
+        return;
+    m_node.http.start(renewalCall(runner.upstream, *renewal, timing.timeout),
+        [this, name = runner.upstream.name, sent = *renewal](
+            const HttpOutcome& outcome) { onRenewalOutcome(name, sent, outcome); });
+}
+
+void Coordinators::onRenewalOutcome(const UpstreamName& name, const Renewal& sent, const HttpOutcome& outcome)
+{
+    Runner* runner = find(name);
+    if (!runner)
+        return;
+    const Millis now = monotonicNow();
+    const RenewerTiming timing { limit(m_node, &Limits::grantTtlMs), limit(m_node, &Limits::renewalIntervalMs),
+        limit(m_node, &Limits::renewalTimeoutMs) };
+    const auto* answer = std::get_if<HttpAnswer>(&outcome);
+    const auto reply = answer && answer->status == 200 ? decodeRenewalReply(answer->body) : std::nullopt;
+    m_node.metrics.count("pistachiospur_renewals_total",
+        { { "result", reply && reply->verdict == RenewalVerdict::accepted ? "accepted" : reply ? "refused" : "failed" } });
+    if (!reply) {
+        onRenewalFailed(runner->renewer, sent, timing, now);
+    } else {
+        const auto change = onRenewalReply(runner->renewer, sent, *reply, timing, now);
+        if (change == RenewerChange::established)
+            onEstablished(*runner);
+        if (change == RenewerChange::displaced) {
+            logInfo("another host coordinates " + name + " under a higher term");
+            refuseWaiting(*runner, RefusalReason::notCoordinator);
+        }
+    }
+    renew(*runner, now);
+    report(*runner, now);
+    pump(*runner);
+}
+
+// From here on this host alone starts requests there; what ran before under others it cannot know.
+void Coordinators::onEstablished(Runner& runner)
+{
+    runner.establishedAt = wallNow();
+    runner.reportedLost = false;
+    logInfo("coordinating " + runner.upstream.name + " with term " + std::to_string(runner.renewer.term.value) + ", "
+        + std::to_string(runner.renewer.wanted.size()) + " slots");
+}
+
+// Asks a lost upstream for a challenge, which extends nothing, and tells the planner when it answers.
+void Coordinators::probe(Runner& runner, Millis now)
+{
+    if (!runner.probing || now < runner.probeAt)
+        return;
+    runner.probeAt = now + limit(m_node, &Limits::renewalIntervalMs);
+    const Renewal renewal { runner.renewer.holder, runner.renewer.term, {}, 0, false, {} };
+    m_node.http.start(renewalCall(runner.upstream, renewal, limit(m_node, &Limits::renewalTimeoutMs)),
+        [this, name = runner.upstream.name](const HttpOutcome& outcome) {
+            Runner* back = find(name);
+            if (back && back->probing && std::holds_alternative<HttpAnswer>(outcome))
+                sendReport(*back, false);
+        });
+}
+
+// Tells the planner of an upstream that answers no more.
+void Coordinators::report(Runner& runner, Millis now)
+{
+    if (now < runner.reportAt || !runner.renewer.coordinating || !looksLost(runner.renewer))
+        return;
+    runner.reportAt = now + kReportAgain;
+    if (!runner.reportedLost)
+        logWarning("upstream " + runner.upstream.name + " lost: " + std::to_string(runner.renewer.unanswered)
+            + " renewals unanswered; its " + std::to_string(runner.renewer.wanted.size())
+            + " slots wait for the grant to expire");
+    runner.reportedLost = true;
+    sendReport(runner, true);
+}
+
+void Coordinators::sendReport(Runner& runner, bool lost)
+{
+    const auto record = m_node.view.ownership.upstreams.find(runner.upstream.name);
+    if (record == m_node.view.ownership.upstreams.end())
+        return;
+    if (runner.reportedFence != record->second.fence)
+        runner.reports = 0;
+    runner.reportedFence = record->second.fence;
+    const HostName planner = plannerOf(m_node, runner.service, runner.reports++ / kReportsPerPlanner);
+    m_node.send(planner, UpstreamReport { runner.service, runner.upstream.name, lost });
+}
+
+RenewalStopped Coordinators::stopRenewing(const StopRenewing& order)
+{
+    const Millis now = monotonicNow();
+    Runner* runner = &runnerOf(order.upstream);
+    runner->promised = std::max(runner->promised, order.fence);
+    stopCoordinating(runner->renewer);
+    refuseWaiting(*runner, RefusalReason::noOwner);
+    return { order.upstream, order.fence, grantRemaining(runner->renewer, now) };
+}
+
+ReleaseReport Coordinators::reportRelease(const UpstreamName& name)
+{
+    const Renewer& renewer = runnerOf(name).renewer;
+    return { name,
+        { m_node.replica.revision, renewer.coordinating, isSettled(renewer), grantRemaining(renewer, monotonicNow()) } };
+}
+
+// Requests ---------------------------------------------------------------------------------------------------------
+
+Coordinators::JobId Coordinators::handle(const UpstreamName& name, Request request, ReplyCallback callback)
+{
+    Runner* runner = find(name);
+    if (!runner || !runner->renewer.coordinating) {
+        callback(notRun(m_node.stopping ? RefusalReason::stopping : RefusalReason::notCoordinator));
+        return 0;
+    }
+    if (isQuarantined(m_node.quarantine, request.fingerprint, monotonicNow())) {
+        callback(notRun(RefusalReason::quarantined));
+        return 0;
+    }
+    if (looksLost(runner->renewer)) {
+        callback(notRun(RefusalReason::noOwner));
+        return 0;
+    }
+    if (auto known = remember(*runner, request)) {
+        callback(std::move(*known));
+        return 0;
+    }
+    const JobId id = m_nextJob++;
+    const WaitingRequest waiting { id, request.order, request.deadline };
+    m_upstreamOf[id] = name;
+    runner->jobs[id] = { std::move(request), std::move(callback), false, {}, 0 };
+    if (const auto reason = enqueue(runner->queue, runner->policy, waiting, monotonicNow())) {
+        finish(*runner, id, notRun(*reason, Millis(1000)));
+        return 0;
+    }
+    pump(*runner);
+    return id;
+}
+
+// The reply to a request that ran before, or that must not run here; nothing when it may run.
+std::optional<Reply> Coordinators::remember(Runner& runner, const Request& request)
+{
+    if (request.idempotent)
+        return std::nullopt;
+    const MemoryPolicy policy { limit(m_node, &Limits::idempotencyWindowMs), limit(m_node, &Limits::clockSkewMs),
+        static_cast<std::size_t>(m_node.settings.limits.idempotencyEntries) };
+    auto answer = beginOnce(runner.memory, policy, *request.idempotencyKey, request.fingerprint,
+        memorySince(runner, request.slot), wallNow());
+    switch (answer.verdict) {
+    case MemoryVerdict::run:
+        return std::nullopt;
+    case MemoryVerdict::replay:
+        return std::move(answer.reply);
+    case MemoryVerdict::inProgress:
+        return maybeRun(RefusalReason::inProgress);
+    case MemoryVerdict::reused:
+        return notRun(RefusalReason::idempotencyKeyReused);
+    case MemoryVerdict::tooYoung:
+        return maybeRun(RefusalReason::memoryTooYoung);
+    }
+    return std::nullopt;
+}
+
+Millis Coordinators::memorySince(const Runner& runner, SlotId slot) const
+{
+    const auto it = runner.since.find(slot);
+    return std::max(runner.establishedAt, it == runner.since.end() ? wallNow() : it->second.second);
+}
+
+bool Coordinators::isServing(const Runner& runner, Millis now) const
+{
+    const Renewer& renewer = runner.renewer;
+    return renewer.established && renewer.confirmedDigest == renewer.wantedDigest && now < renewer.grantBound;
+}
+
+void Coordinators::pump(Runner& runner)
+{
+    while (isServing(runner, monotonicNow())) {
+        const auto next = startNext(runner.queue, runner.policy, monotonicNow());
+        if (!next)
+            return;
+        start(runner, next->id);
+    }
+}
+
+void Coordinators::start(Runner& runner, JobId id)
+{
+    Job& job = runner.jobs.at(id);
+    job.running = true;
+    job.startedAt = monotonicNow();
+    const auto& wanted = runner.renewer.wanted;
+    const auto slot = std::lower_bound(wanted.begin(), wanted.end(), SlotGrant { job.request.slot, {} });
+    if (slot == wanted.end() || slot->slot != job.request.slot) {
+        finish(runner, id, notRun(RefusalReason::noOwner));
+        return;
+    }
+    job.call = m_node.http.start(requestCall(runner.upstream, job.request, *slot, runner.renewer.term, job.startedAt),
+        [this, name = runner.upstream.name, id](HttpOutcome outcome) { onOutcome(name, id, std::move(outcome)); });
+}
+
+void Coordinators::onOutcome(const UpstreamName& name, JobId id, HttpOutcome outcome)
+{
+    Runner* runner = find(name);
+    if (!runner || !runner->jobs.count(id))
+        return;
+    Reply reply = interpret(std::move(outcome));
+    const std::uint64_t fingerprint = runner->jobs.at(id).request.fingerprint;
+    const auto* refusal = std::get_if<Refusal>(&reply);
+    if (!refusal)
+        onAnswered(m_node.quarantine, fingerprint);
+    else if (refusal->reason == RefusalReason::upstreamBroken
+        && onBreak(m_node.quarantine, { fingerprint, m_node.self.incarnation.value + id }, monotonicNow()))
+        logWarning("a connection to " + name + " broke under request " + std::to_string(fingerprint));
+    finish(*runner, id, std::move(reply));
+    pump(*runner);
+}
+
+void Coordinators::finish(Runner& runner, JobId id, Reply reply)
+{
+    auto node = runner.jobs.extract(id);
+    m_upstreamOf.erase(id);
+    if (node.empty())
+        return;
+    Job& job = node.mapped();
+    if (job.running) {
+        const bool answered = std::holds_alternative<Answer>(reply);
+        finishRun(runner.queue, job.request.order,
+            answered ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
+    }
+    if (!job.request.idempotent)
+        endOnce(runner.memory, job.request.idempotencyKey->text, reply);
+    job.callback(std::move(reply));
+}
+
+// A waiting request is dropped. A running one is left alone unless it is idempotent: only then is it harmless not to
+// learn what became of it.
+void Coordinators::cancel(JobId id)
+{
+    const auto it = m_upstreamOf.find(id);
+    Runner* runner = it == m_upstreamOf.end() ? nullptr : find(it->second);
+    if (!runner)
+        return;
+    const Job& job = runner->jobs.at(id);
+    if (job.running && !job.request.idempotent)
+        return;
+    if (job.running)
+        m_node.http.cancel(job.call);
+    else
+        removeWaiting(runner->queue, id);
+    finish(*runner, id, job.running ? maybeRun(RefusalReason::deadlinePassed) : notRun(RefusalReason::deadlinePassed));
+    pump(*runner);
+}
+
+void Coordinators::publishMetrics()
+{
+    double coordinated = 0;
+    for (const auto& [name, runner] : m_runners) {
+        coordinated += runner->renewer.established;
+        m_node.metrics.set("pistachiospur_upstream_waiting", { { "upstream", name } },
+            static_cast<double>(waitingCount(runner->queue)));
+        m_node.metrics.set(
+            "pistachiospur_upstream_running", { { "upstream", name } }, static_cast<double>(runner->queue.running));
+    }
+    m_node.metrics.set("pistachiospur_coordinated_upstreams", {}, coordinated);
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/daemon/heartbeats.cpp
@@ -0,0 +1,117 @@
+#include "heartbeats.h"
+
+#include "config/fields.h"
+#include "observe/log.h"
+
+namespace pistachiospur {
+
+Heartbeats::Heartbeats(
+    Node& node, std::function<void()> onChange, std::function<void(const HostName&, StoreRevision)> onRevision)
+    : m_node(node)
+    , m_onChange(std::move(onChange))
+    , m_onRevision(std::move(onRevision))
+    , m_beatTimer([this] { tick(); })
+    , m_listTimer([this] { readHostList(); })
+{
+}
+
+void Heartbeats::start()
+{
+    readHostList();
+    m_beatTimer.every(limit(m_node, &Limits::heartbeatIntervalMs));
+    m_listTimer.every(limit(m_node, &Limits::hostListIntervalMs));
+}
+
+void Heartbeats::tick()
+{
+    const MemberTiming timing { limit(m_node, &Limits::suspectAfterMs), limit(m_node, &Limits::deadAfterMs) };
+    judgeSilence(m_node.members, timing, monotonicNow());
+    beat();
+    reportChanges();
+}
+
+void Heartbeats::beat()
+{
+    for (const auto& it : heartbeatTargets(m_node.members))
+        m_node.send(it, makeHeartbeat(false));
+}
+
+Heartbeat Heartbeats::makeHeartbeat(bool isReply)
+{
+    return { m_node.members.incarnation, m_node.stopping, isReply, m_node.replica.revision,
+        nextRumours(m_node.members), nextSuspicions(m_node.quarantine) };
+}
+
+void Heartbeats::onHeartbeat(const HostName& from, const Heartbeat& heartbeat)
+{
+    const Millis now = monotonicNow();
+    onHeard(m_node.members, from, heartbeat.incarnation, heartbeat.leaving, now);
+    for (const auto& it : heartbeat.rumours)
+        onRumour(m_node.members, it, now);
+    for (const auto& it : heartbeat.suspicions)
+        onBreak(m_node.quarantine, it, now);
+    if (!heartbeat.isReply)
+        m_node.send(from, makeHeartbeat(true));
+    m_onRevision(from, heartbeat.revision);
+    reportChanges();
+}
+
+void Heartbeats::readHostList()
+{
+    HttpCall call;
+    call.method = "GET";
+    call.url = "http://" + m_node.settings.hostList.text() + "/hosts";
+    call.timeout = limit(m_node, &Limits::storeTimeoutMs);
+    m_node.http.start(call, [this](const HttpOutcome& outcome) {
+        const auto* answer = std::get_if<HttpAnswer>(&outcome);
+        if (answer && answer->status == 200)
+            takeHostList(answer->body);
+    });
+}
+
+void Heartbeats::takeHostList(const std::string& body)
+{
+    std::vector<FieldError> errors;
+    const auto document = parseDocument(body, "host list", errors);
+    if (!document)
+        return;
+    FieldReader reader(*document, "host list", errors);
+    std::vector<ListedHost> list;
+    for (const auto& it : reader.objects("hosts", 0)) {
+        FieldReader host(it, "host list", errors);
+        ListedHost listed { host.text("host"), host.text("data_centre"), host.endpoint("peers"), false };
+        listed.leaving = host.oneOf("state", { "live", "leaving" }, "live") == "leaving";
+        list.push_back(listed);
+    }
+    if (!errors.empty())
+        return;
+    applyHostList(m_node.members, list, monotonicNow());
+    m_node.members.own.leaving = m_node.members.own.leaving || m_node.stopping;
+    reportChanges();
+}
+
+void Heartbeats::reportChanges()
+{
+    std::map<HostName, std::pair<HostState, bool>> present;
+    for (const auto& [name, member] : m_node.members.hosts)
+        present[name] = { member.state, member.leaving };
+    present[m_node.members.self] = { HostState::alive, m_node.members.own.leaving };
+    if (present == m_reported)
+        return;
+    static const char* const names[] = { "alive", "suspect", "dead" };
+    for (const auto& [name, state] : present) {
+        const auto it = m_reported.find(name);
+        if (it == m_reported.end() || it->second != state)
+            logInfo("host " + name + " is " + names[static_cast<int>(state.first)] + (state.second ? ", leaving" : ""));
+    }
+    for (const auto& [name, state] : m_reported) {
+        if (!present.count(name))
+            logInfo("host " + name + " is gone from the platform's list");
+    }
+    m_reported = std::move(present);
+    m_node.metrics.set(
+        "pistachiospur_hosts_alive", {}, static_cast<double>(liveHosts(m_node.members).size()));
+    m_onChange();
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/daemon/heartbeats.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "node.h"
+
+#include <functional>
+
+// Keeps the membership up to date: reads the platform's host list, exchanges heartbeats, spreads rumours.
+namespace pistachiospur {
+
+class Heartbeats {
+public:
+    Heartbeats(Node&, std::function<void()> onChange, std::function<void(const HostName&, StoreRevision)> onRevision);
+
+    void start();
+    void onHeartbeat(const HostName& from, const Heartbeat&);
+    // Sends heartbeats now, as when this host begins to leave.
+    void beat();
+
+private:
+    void tick();
+    void readHostList();
+    void takeHostList(const std::string& body);
+    Heartbeat makeHeartbeat(bool isReply);
+    void reportChanges();
+
+    Node& m_node;
+    std::function<void()> m_onChange;
+    std::function<void(const HostName&, StoreRevision)> m_onRevision;
+    Timer m_beatTimer;
+    Timer m_listTimer;
+    std::map<HostName, std::pair<HostState, bool>> m_reported;
+};
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/daemon/node.cpp
@@ -0,0 +1,40 @@
+#include "node.h"
+
+#include <utility>
+
+namespace pistachiospur {
+
+namespace {
+
+constexpr std::size_t kGreatestAnswer = 64u << 20;
+
+} // namespace
+
+Node::Node(Settings from, PeerHub::Handlers handlers)
+    : settings(std::move(from))
+    , self { settings.host, Incarnation { static_cast<std::uint64_t>(wallNow().count()) } }
+    , http(kGreatestAnswer)
+    , store(http, settings.store, settings.storePrefix + kLivePrefix, Millis(settings.limits.storeTimeoutMs))
+    , hub(settings.peers, self, handlers)
+    , m_onMessage(handlers.onMessage)
+    , m_selfTimer([this] {
+        for (auto messages = std::exchange(m_toSelf, {}); !messages.empty(); messages.pop_front())
+            m_onMessage(self.host, std::move(messages.front()));
+    })
+{
+    members.self = settings.host;
+    members.incarnation = self.incarnation;
+    members.own = { settings.host, settings.dataCentre, settings.peers, false };
+}
+
+void Node::send(const HostName& to, const Message& message)
+{
+    if (to != self.host) {
+        hub.send(to, message);
+        return;
+    }
+    m_toSelf.push_back(message);
+    m_selfTimer.once(Millis(0));
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/io/loop.cpp
@@ -0,0 +1,98 @@
+#include "loop.h"
+
+#include <chrono>
+#include <csignal>
+
+namespace pistachiospur {
+
+namespace {
+
+double seconds(Millis n) { return static_cast<double>(n.count()) / 1000.0; }
+
+} // namespace
+
+// libev's default loop collects every child process; the programs that have children wait for them themselves.
+struct ev_loop* defaultLoop()
+{
+    static struct ev_loop* const loop = [] {
+        struct ev_loop* it = ev_default_loop(EVFLAG_AUTO);
+        std::signal(SIGCHLD, SIG_DFL);
+        return it;
+    }();
+    return loop;
+}
+
+Millis monotonicNow()
+{
+    static const auto start = std::chrono::steady_clock::now();
+    return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - start);
+}
+
+Millis wallNow()
+{
+    return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+Timer::Timer(std::function<void()> callback)
+    : m_callback(std::move(callback))
+{
+    ev_init(&m_watcher, [](struct ev_loop*, ev_timer* watcher, int) { static_cast<Timer*>(watcher->data)->m_callback(); });
+    m_watcher.data = this;
+}
+
+Timer::~Timer() { stop(); }
+
+void Timer::once(Millis after)
+{
+    stop();
+    ev_now_update(defaultLoop());
+    ev_timer_set(&m_watcher, seconds(after), 0.0);
+    ev_timer_start(defaultLoop(), &m_watcher);
+}
+
+void Timer::every(Millis interval)
+{
+    stop();
+    ev_now_update(defaultLoop());
+    ev_timer_set(&m_watcher, seconds(interval), seconds(interval));
+    ev_timer_start(defaultLoop(), &m_watcher);
+}
+
+void Timer::stop() { ev_timer_stop(defaultLoop(), &m_watcher); }
+
+SocketWatcher::SocketWatcher(std::function<void(int)> callback)
+    : m_callback(std::move(callback))
+{
+    ev_init(&m_watcher,
+        [](struct ev_loop*, ev_io* watcher, int events) { static_cast<SocketWatcher*>(watcher->data)->m_callback(events); });
+    m_watcher.data = this;
+}
+
+SocketWatcher::~SocketWatcher() { stop(); }
+
+void SocketWatcher::watch(int fd, int events)
+{
+    stop();
+    ev_io_set(&m_watcher, fd, events);
+    ev_io_start(defaultLoop(), &m_watcher);
+}
+
+void SocketWatcher::stop() { ev_io_stop(defaultLoop(), &m_watcher); }
+
+SignalWatcher::SignalWatcher(int signal, std::function<void()> callback)
+    : m_callback(std::move(callback))
+{
+    ev_signal_init(
+        &m_watcher,
+        [](struct ev_loop*, ev_signal* watcher, int) { static_cast<SignalWatcher*>(watcher->data)->m_callback(); }, signal);
+    m_watcher.data = this;
+    ev_signal_start(defaultLoop(), &m_watcher);
+}
+
+SignalWatcher::~SignalWatcher() { ev_signal_stop(defaultLoop(), &m_watcher); }
+
+void runLoop() { ev_run(defaultLoop(), 0); }
+
+void breakLoop() { ev_break(defaultLoop(), EVBREAK_ALL); }
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/membership/members.cpp
@@ -0,0 +1,233 @@
+#include "members.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace pistachiospur {
+
+namespace {
+
+std::pair<std::uint64_t, HostName> ringPosition(const HostName& host)
+{
+    return { XXH64(host.data(), host.size(), 0), host };
+}
+
+void spread(Members& members, const HostName& host) { members.fresh[host] = kRumourRepeats; }
+
+void setState(Members& members, Member& member, HostState state)
+{
+    if (member.state == state)
+        return;
+    member.state = state;
+    spread(members, member.listed.host);
+}
+
+// Other hosts of this host's data centre in ring order, beginning after this host.
+std::vector<HostName> ringAfterSelf(const Members& members)
+{
+    std::vector<HostName> ring;
+    for (const auto& [name, member] : members.hosts) {
+        if (member.listed.dataCentre == members.own.dataCentre)
+            ring.push_back(name);
+    }
+    const auto self = ringPosition(members.self);
+    std::sort(ring.begin(), ring.end(), [&](const HostName& a, const HostName& b) {
+        const auto pa = ringPosition(a), pb = ringPosition(b);
+        return std::pair(pa < self, pa) < std::pair(pb < self, pb);
+    });
+    return ring;
+}
+
+// The nearest hosts on both sides; a dead one is watched still, and the next live one besides.
+std::set<HostName> ringNeighbours(const Members& members)
+{
+    const auto ring = ringAfterSelf(members);
+    std::set<HostName> found;
+    const auto take = [&](auto from, auto to) {
+        std::size_t live = 0;
+        for (auto it = from; it != to && live < kRingNeighbours; ++it) {
+            found.insert(*it);
+            live += members.hosts.at(*it).state != HostState::dead;
+        }
+    };
+    take(ring.begin(), ring.end());
+    take(ring.rbegin(), ring.rend());
+    return found;
+}
+
+} // namespace
+
+void applyHostList(Members& members, const std::vector<ListedHost>& list, Millis now)
+{
+    std::set<HostName> listed;
+    for (const auto& it : list) {
+        listed.insert(it.host);
+        if (it.host == members.self) {
+            members.own = it;
+            continue;
+        }
+        members.gone.erase(it.host);
+        const auto [found, fresh] = members.hosts.try_emplace(it.host);
+        Member& member = found->second;
+        if (fresh)
+            member.lastHeard = now;
+        member.listed = it;
+        member.leaving = member.leaving || it.leaving;
+    }
+    for (auto it = members.hosts.begin(); it != members.hosts.end();) {
+        if (listed.count(it->first)) {
+            ++it;
+            continue;
+        }
+        members.gone.emplace(it->first, now);
+        members.fresh.erase(it->first);
+        it = members.hosts.erase(it);
+    }
+    if (!members.listRead)
+        members.listReadAt = now;
+    members.listRead = true;
+}
+
+void onHeard(Members& members, const HostName& host, Incarnation incarnation, bool leaving, Millis now)
+{
+    const auto it = members.hosts.find(host);
+    if (it == members.hosts.end() || incarnation < it->second.incarnation)
+        return;
+    Member& member = it->second;
+    const bool restarted = member.incarnation < incarnation;
+    member.incarnation = incarnation;
+    member.lastHeard = now;
+    member.heard = true;
+    member.leaving = restarted ? leaving : member.leaving || leaving;
+    setState(members, member, HostState::alive);
+}
+
+void onRumour(Members& members, const Rumour& rumour, Millis now)
+{
+    if (rumour.host == members.self) {
+        if (rumour.state != HostState::alive && rumour.incarnation >= members.incarnation)
+            members.incarnation = rumour.incarnation.next();
+        return;
+    }
+    const auto it = members.hosts.find(rumour.host);
+    if (it == members.hosts.end())
+        return;
+    Member& member = it->second;
+    const bool newer = member.incarnation < rumour.incarnation;
+    const bool worse = member.incarnation == rumour.incarnation && member.state < rumour.state;
+    if (!newer && !worse)
+        return;
+    member.incarnation = rumour.incarnation;
+    if (rumour.state == HostState::alive)
+        member.lastHeard = now;
+    setState(members, member, rumour.state);
+}
+
+void judgeSilence(Members& members, const MemberTiming& timing, Millis now)
+{
+    for (const auto& host : ringNeighbours(members)) {
+        Member& member = members.hosts.at(host);
+        const Millis silence = now - member.lastHeard;
+        if (silence >= timing.deadAfter)
+            setState(members, member, HostState::dead);
+        else if (silence >= timing.suspectAfter && member.state == HostState::alive)
+            setState(members, member, HostState::suspect);
+    }
+}
+
+std::vector<HostName> heartbeatTargets(Members& members)
+{
+    auto targets = ringNeighbours(members);
+    if (!members.hosts.empty()) {
+        auto it = members.hosts.begin();
+        std::advance(it, static_cast<long>(members.round++ % members.hosts.size()));
+        targets.insert(it->first);
+    }
+    return { targets.begin(), targets.end() };
+}
+
+std::vector<Rumour> nextRumours(Members& members)
+{
+    std::vector<Rumour> rumours;
+    for (auto it = members.fresh.begin(); it != members.fresh.end() && rumours.size() < kRumoursPerHeartbeat;) {
+        const auto found = members.hosts.find(it->first);
+        if (found != members.hosts.end())
+            rumours.push_back({ it->first, found->second.incarnation, found->second.state });
+        it = found == members.hosts.end() || --it->second == 0 ? members.fresh.erase(it) : std::next(it);
+    }
+    return rumours;
+}
+
+Millis goneFor(const Members& members, const HostName& host, Millis now)
+{
+    if (host == members.self || !members.listRead || members.hosts.count(host))
+        return Millis(0);
+    const auto it = members.gone.find(host);
+    return now - (it == members.gone.end() ? members.listReadAt : it->second);
+}
+
+bool isAlive(const Members& members, const HostName& host)
+{
+    if (host == members.self)
+        return true;
+    const auto it = members.hosts.find(host);
+    return it != members.hosts.end() && it->second.state != HostState::dead;
+}
+
+bool isLeaving(const Members& members, const HostName& host)
+{
+    if (host == members.self)
+        return members.own.leaving;
+    const auto it = members.hosts.find(host);
+    return it != members.hosts.end() && it->second.leaving;
+}
+
+std::vector<HostName> liveHosts(const Members& members, const DataCentreName& dataCentre)
+{
+    std::vector<HostName> live;
+    if (!members.own.leaving && (dataCentre.empty() || members.own.dataCentre == dataCentre))
+        live.push_back(members.self);
+    for (const auto& [name, member] : members.hosts) {
+        if (member.state != HostState::dead && !member.leaving
+            && (dataCentre.empty() || member.listed.dataCentre == dataCentre))
+            live.push_back(name);
+    }
+    std::sort(live.begin(), live.end());
+    return live;
+}
+
+std::vector<HostName> liveHosts(const Members& members) { return liveHosts(members, {}); }
+
+const ListedHost* findHost(const Members& members, const HostName& host)
+{
+    const auto it = members.hosts.find(host);
+    return it == members.hosts.end() ? nullptr : &it->second.listed;
+}
+
+std::vector<HostName> relayOrder(const Members& members)
+{
+    auto order = liveHosts(members, members.own.dataCentre);
+    std::sort(order.begin(), order.end(),
+        [](const HostName& a, const HostName& b) { return ringPosition(a) < ringPosition(b); });
+    return order;
+}
+
+HostName relayRoot(const Members& members)
+{
+    const auto order = relayOrder(members);
+    return order.empty() ? members.self : order.front();
+}
+
+std::vector<HostName> relayChildren(const Members& members)
+{
+    const auto order = relayOrder(members);
+    const auto self = std::find(order.begin(), order.end(), members.self);
+    if (self == order.end())
+        return {};
+    const auto first = static_cast<std::size_t>(self - order.begin()) * kRelayFanOut + 1;
+    const auto from = std::min(first, order.size());
+    const auto to = std::min(first + kRelayFanOut, order.size());
+    return { order.begin() + static_cast<long>(from), order.begin() + static_cast<long>(to) };
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/observe/metrics.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "pistachiospur/request.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+// Counters, gauges and histograms, by prometheus-cpp. Every metric stands once in the table that the operators' page
+// is made from.
+namespace pistachiospur {
+
+struct MetricInfo {
+    const char* name;
+    const char* type; // counter, gauge or histogram
+    const char* help;
+};
+
+const std::vector<MetricInfo>& metricTable();
+
+class Metrics {
+public:
+    using Labels = std::map<std::string, std::string>;
+
+    Metrics();
+    // Adds to a counter of the table.
+    void count(const char* name, const Labels& labels = {}, double n = 1);
+    void set(const char* name, const Labels& labels, double value);
+    // Records a latency in the histogram of the service and rank.
+    void observeLatency(const ServiceName&, const RankName&, double seconds);
+    double counterValue(const char* name, const Labels& labels = {});
+    // The text format that Prometheus reads.
+    std::string text() const;
+
+private:
+    prometheus::Registry m_registry;
+    std::map<std::string, prometheus::Family<prometheus::Counter>*> m_counters;
+    std::map<std::string, prometheus::Family<prometheus::Gauge>*> m_gauges;
+    prometheus::Family<prometheus::Histogram>* m_latency = nullptr;
+    std::map<std::pair<ServiceName, RankName>, prometheus::Histogram*> m_latencies;
+};
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/ownership/release.cpp
@@ -0,0 +1,42 @@
+#include "release.h"
+
+namespace pistachiospur {
+
+Release beginRelease(const UpstreamRecord& record, StoreRevision marked)
+{
+    Release release;
+    release.marked = marked;
+    release.recordVersion = record.version;
+    release.awaited.insert(record.renewers.begin(), record.renewers.end());
+    return release;
+}
+
+void onRenewerStanding(Release& release, const HostName& host, const RenewerStanding& standing)
+{
+    const bool harmless = standing.coordinating ? standing.settled : standing.remaining.count() == 0;
+    if (standing.applied >= release.marked && harmless)
+        release.awaited.erase(host);
+}
+
+void onReleaseRenewerGone(Release& release, const HostName& host) { release.awaited.erase(host); }
+
+bool isReleased(const Release& release) { return release.awaited.empty(); }
+
+std::vector<SlotChange> completeMoves(
+    const OwnershipTable& table, const ServiceName& service, const UpstreamName& from)
+{
+    std::vector<SlotChange> changes;
+    const auto index = table.names.find(from);
+    const auto it = table.services.find(service);
+    if (!index || it == table.services.end())
+        return changes;
+    const auto& slots = it->second.slots;
+    for (std::uint32_t n = 0; n < slots.size(); ++n) {
+        const SlotRecord& slot = slots[n];
+        if (slot.owner == *index && slot.movingTo != kNoUpstream)
+            changes.push_back({ SlotId { n }, { slot.movingTo, kNoUpstream, slot.epoch.next() } });
+    }
+    return changes;
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/ownership/renewer.cpp
@@ -0,0 +1,133 @@
+#include "renewer.h"
+
+#include <algorithm>
+
+namespace pistachiospur {
+
+void startCoordinating(Renewer& renewer, Millis now)
+{
+    if (renewer.coordinating)
+        return;
+    renewer.coordinating = true;
+    renewer.established = false;
+    renewer.term = renewer.term.next();
+    renewer.challenge = {};
+    renewer.confirmedDigest = 0;
+    renewer.unanswered = 0;
+    renewer.sentAt.reset();
+    renewer.dueAt = now;
+}
+
+void stopCoordinating(Renewer& renewer)
+{
+    renewer.coordinating = false;
+    renewer.established = false;
+    renewer.sentAt.reset();
+    renewer.unanswered = 0;
+    renewer.lostTerms = 0;
+}
+
+void setSlots(Renewer& renewer, std::vector<SlotGrant> sorted, Millis now)
+{
+    const std::uint64_t digest = digestOf(sorted);
+    if (digest == renewer.wantedDigest && sorted == renewer.wanted)
+        return;
+    renewer.wanted = std::move(sorted);
+    renewer.wantedDigest = digest;
+    renewer.dueAt = now;
+}
+
+std::optional<Renewal> dueRenewal(Renewer& renewer, const RenewerTiming& timing, Millis now)
+{
+    if (!renewer.coordinating)
+        return std::nullopt;
+    if (renewer.sentAt) {
+        if (now < *renewer.sentAt + timing.timeout)
+            return std::nullopt;
+        onRenewalFailed(renewer, renewer.sent, timing, now);
+    }
+    if (now < renewer.dueAt)
+        return std::nullopt;
+    Renewal renewal { renewer.holder, renewer.term, renewer.challenge, renewer.wantedDigest, false, {} };
+    if (renewer.challenge.value != 0) {
+        renewal.hasSlots = renewer.confirmedDigest != renewer.wantedDigest;
+        if (renewal.hasSlots)
+            renewal.slots = renewer.wanted;
+        // The upstream issued the challenge before it arrived here, so this bounds the grant from above.
+        renewer.grantBound = std::max(renewer.grantBound, renewer.challengeReceivedAt + timing.ttl);
+    }
+    renewer.sentAt = now;
+    renewer.sent = renewal;
+    return renewal;
+}
+
+namespace {
+
+Millis backoff(unsigned lostTerms) { return std::min(kTermBackoffGreatest, kTermBackoff * (1 << std::min(lostTerms, 6u))); }
+
+RenewerChange onDisplaced(Renewer& renewer, const RenewalReply& reply, Millis now)
+{
+    const bool was = renewer.established;
+    renewer.established = false;
+    renewer.challenge = {};
+    renewer.confirmedDigest = 0;
+    renewer.term = reply.term.next();
+    renewer.dueAt = now + backoff(renewer.lostTerms++);
+    return was ? RenewerChange::displaced : RenewerChange::none;
+}
+
+} // namespace
+
+RenewerChange onRenewalReply(
+    Renewer& renewer, const Renewal& sent, const RenewalReply& reply, const RenewerTiming& timing, Millis now)
+{
+    if (!renewer.coordinating || !renewer.sentAt || !(sent == renewer.sent))
+        return RenewerChange::none;
+    const Millis sentAt = *renewer.sentAt;
+    renewer.sentAt.reset();
+    renewer.unanswered = 0;
+    if (reply.verdict == RenewalVerdict::outdatedTerm)
+        return onDisplaced(renewer, reply, now);
+    renewer.challenge = reply.challenge;
+    renewer.challengeReceivedAt = now;
+    renewer.busy = reply.busy;
+    if (reply.verdict != RenewalVerdict::accepted) {
+        renewer.confirmedDigest = 0;
+        renewer.dueAt = now;
+        return RenewerChange::none;
+    }
+    renewer.lostTerms = 0;
+    renewer.confirmedDigest = sent.digest;
+    renewer.dueAt = renewer.confirmedDigest == renewer.wantedDigest ? sentAt + timing.interval : now;
+    if (renewer.established)
+        return RenewerChange::none;
+    renewer.established = true;
+    return RenewerChange::established;
+}
+
+void onRenewalFailed(Renewer& renewer, const Renewal& sent, const RenewerTiming& timing, Millis now)
+{
+    if (!renewer.sentAt || !(sent == renewer.sent))
+        return;
+    const Millis sentAt = *renewer.sentAt;
+    renewer.sentAt.reset();
+    renewer.challenge = {}; // the upstream may have issued another
+    renewer.confirmedDigest = 0; // and may have restarted
+    ++renewer.unanswered;
+    const Millis pause = looksLost(renewer) ? timing.interval : timing.interval / 4;
+    renewer.dueAt = std::max(now, sentAt + pause);
+}
+
+bool looksLost(const Renewer& renewer) { return renewer.unanswered >= kUnansweredUntilLost; }
+
+bool isSettled(const Renewer& renewer)
+{
+    return renewer.established && renewer.confirmedDigest == renewer.wantedDigest && renewer.busy.empty();
+}
+
+Millis grantRemaining(const Renewer& renewer, Millis now)
+{
+    return std::max(Millis(0), renewer.grantBound + kClockRateMargin - now);
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/peers/link.cpp
@@ -0,0 +1,266 @@
+#include "link.h"
+
+#include "io/socket.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace pistachiospur {
+
+namespace {
+
+constexpr std::size_t kReadChunk = 64u << 10;
+constexpr std::size_t kGreatestFrame = 80u << 20;
+
+struct QuietClient : websocketpp::config::core_client {
+    static const std::size_t max_message_size = kGreatestFrame;
+};
+
+struct QuietServer : websocketpp::config::core {
+    static const std::size_t max_message_size = kGreatestFrame;
+};
+
+template <typename EndpointType> EndpointType& sharedEndpoint()
+{
+    static EndpointType endpoint;
+    static const bool quiet = [] {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        return true;
+    }();
+    (void)quiet;
+    return endpoint;
+}
+
+using Client = websocketpp::client<QuietClient>;
+using Server = websocketpp::server<QuietServer>;
+
+void makePrompt(int fd)
+{
+    const int on = 1;
+    if (fd >= 0)
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+// One link over either role's connection type.
+template <typename Role> class SocketLink : public Link {
+public:
+    SocketLink(int fd, bool connecting, Handlers handlers)
+        : m_fd(fd)
+        , m_connecting(connecting)
+        , m_handlers(std::move(handlers))
+        , m_watcher([this](int events) { onEvents(events); })
+        , m_failure([this] { close(); })
+        , m_lastReceived(monotonicNow())
+        , m_lastUsed(m_lastReceived)
+        , m_lastPing(m_lastReceived)
+    {
+        makePrompt(fd);
+    }
+
+    ~SocketLink() override
+    {
+        if (m_connection)
+            silence();
+        if (m_fd >= 0)
+            ::close(m_fd);
+    }
+
+    void begin(typename Role::connection_ptr connection)
+    {
+        m_connection = std::move(connection);
+        if (!m_connection || m_fd < 0) {
+            m_failure.once(Millis(0));
+            return;
+        }
+        m_connection->set_write_handler([this](websocketpp::connection_hdl, const char* data, std::size_t n) {
+            m_out.append(data, n);
+            flush();
+            return websocketpp::lib::error_code();
+        });
+        m_connection->set_open_handler([this](websocketpp::connection_hdl) {
+            m_open = true;
+            m_handlers.onOpen(*this);
+        });
+        m_connection->set_message_handler([this](websocketpp::connection_hdl, typename Role::message_ptr message) {
+            m_lastUsed = monotonicNow();
+            m_handlers.onFrame(*this, message->get_payload());
+        });
+        m_connection->set_close_handler([this](websocketpp::connection_hdl) { m_failure.once(Millis(0)); });
+        m_connection->set_fail_handler([this](websocketpp::connection_hdl) { m_failure.once(Millis(0)); });
+        if (!m_connecting)
+            m_connection->start();
+        watch();
+    }
+
+    void send(const std::string& frame) override
+    {
+        m_lastUsed = monotonicNow();
+        if (m_open)
+            m_connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+    }
+
+    void close() override
+    {
+        if (m_closed)
+            return;
+        m_closed = true;
+        m_open = false;
+        m_watcher.stop();
+        m_failure.stop();
+        if (m_fd >= 0)
+            ::close(m_fd);
+        m_fd = -1;
+        m_handlers.onClose(*this);
+    }
+
+    bool isOpen() const override { return m_open; }
+    bool isClosed() const override { return m_closed; }
+    Millis lastReceived() const override { return m_lastReceived; }
+    Millis lastUsed() const override { return m_lastUsed; }
+
+    void check(Millis now) override
+    {
+        if (m_closed)
+            return;
+        if (now - m_lastUsed >= kIdleLimit || now - m_lastReceived >= kSilenceLimit) {
+            close();
+            return;
+        }
+        if (m_open && now - m_lastPing >= kPingInterval) {
+            m_lastPing = now;
+            websocketpp::lib::error_code ec;
+            m_connection->ping("", ec);
+        }
+    }
+
+private:
+    void silence()
+    {
+        m_connection->set_write_handler([](websocketpp::connection_hdl, const char*, std::size_t) {
+            return websocketpp::lib::error_code();
+        });
+        m_connection->set_open_handler(nullptr);
+        m_connection->set_message_handler(nullptr);
+        m_connection->set_close_handler(nullptr);
+        m_connection->set_fail_handler(nullptr);
+    }
+
+    void watch()
+    {
+        if (m_fd < 0)
+            return;
+        const int events = m_connecting ? EV_WRITE : (m_out.empty() ? EV_READ : EV_READ | EV_WRITE);
+        if (events == m_events)
+            return;
+        m_events = events;
+        m_watcher.watch(m_fd, events);
+    }
+
+    void onEvents(int events)
+    {
+        if (m_connecting) {
+            finishConnect();
+            return;
+        }
+        if (events & EV_WRITE)
+            flush();
+        if ((events & EV_READ) && !m_closed)
+            receive();
+        watch();
+    }
+
+    void finishConnect()
+    {
+        int ec = 0;
+        socklen_t n = sizeof ec;
+        getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &ec, &n);
+        if (ec != 0) {
+            close();
+            return;
+        }
+        m_connecting = false;
+        m_connection->start();
+        watch();
+    }
+
+    void receive()
+    {
+        static thread_local std::string buf(kReadChunk, '\0');
+        const ssize_t n = ::read(m_fd, buf.data(), buf.size());
+        if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
+            close();
+            return;
+        }
+        if (n < 0)
+            return;
+        m_lastReceived = monotonicNow();
+        std::size_t taken = 0;
+        while (taken < static_cast<std::size_t>(n) && !m_closed) {
+            const auto it = m_connection->read_some(buf.data() + taken, static_cast<std::size_t>(n) - taken);
+            if (it == 0)
+                break;
+            taken += it;
+        }
+    }
+
+    void flush()
+    {
+        while (!m_out.empty() && m_fd >= 0 && !m_connecting) {
+            const ssize_t n = ::send(m_fd, m_out.data() + m_sent, m_out.size() - m_sent, MSG_NOSIGNAL);
+            if (n < 0) {
+                if (errno != EAGAIN && errno != EINTR)
+                    m_failure.once(Millis(0));
+                break;
+            }
+            m_sent += static_cast<std::size_t>(n);
+            if (m_sent == m_out.size()) {
+                m_out.clear();
+                m_sent = 0;
+            }
+        }
+        if (m_out.size() - m_sent > kGreatestBacklog)
+            m_failure.once(Millis(0));
+        watch();
+    }
+
+    int m_fd;
+    bool m_connecting;
+    Handlers m_handlers;
+    SocketWatcher m_watcher;
+    Timer m_failure;
+    typename Role::connection_ptr m_connection;
+    std::string m_out;
+    std::size_t m_sent = 0;
+    int m_events = 0;
+    bool m_open = false;
+    bool m_closed = false;
+    Millis m_lastReceived;
+    Millis m_lastUsed;
+    Millis m_lastPing;
+};
+
+} // namespace
+
+std::unique_ptr<Link> Link::connect(const Endpoint& to, Handlers handlers)
+{
+    auto link = std::make_unique<SocketLink<Client>>(connectTo(to), true, std::move(handlers));
+    websocketpp::lib::error_code ec;
+    auto connection = sharedEndpoint<Client>().get_connection("ws://" + to.text() + "/peer", ec);
+    link->begin(ec ? nullptr : connection);
+    return link;
+}
+
+std::unique_ptr<Link> Link::accept(int fd, Handlers handlers)
+{
+    auto link = std::make_unique<SocketLink<Server>>(fd, false, std::move(handlers));
+    link->begin(sharedEndpoint<Server>().get_connection());
+    return link;
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/peers/messages.cpp
@@ -0,0 +1,120 @@
+#include "codec.h"
+
+namespace pistachiospur {
+
+using Json = nlohmann::json;
+
+// One pair of conversions for a struct whose members travel in the order given.
+#define PISTACHIOSPUR_WIRE(Type, ...)                                                                                  \
+    static void to_json(Json& j, const Type& it) { j = std::apply([](const auto&... m) { return pack(m...); }, __VA_ARGS__); } \
+    static void from_json(const Json& j, Type& it) { std::apply([&j](auto&... m) { unpack(j, m...); }, __VA_ARGS__); }
+
+PISTACHIOSPUR_WIRE(Rumour, std::tie(it.host, it.incarnation, it.state))
+PISTACHIOSPUR_WIRE(Suspicion, std::tie(it.fingerprint, it.breakId))
+PISTACHIOSPUR_WIRE(StoredValue, std::tie(it.text, it.version))
+PISTACHIOSPUR_WIRE(KeyChange, std::tie(it.key, it.text, it.version))
+PISTACHIOSPUR_WIRE(ChangeBatch, std::tie(it.from, it.to, it.changes))
+PISTACHIOSPUR_WIRE(Snapshot, std::tie(it.revision, it.values))
+PISTACHIOSPUR_WIRE(IdempotencyKey, std::tie(it.text, it.sentAt))
+PISTACHIOSPUR_WIRE(Refusal, std::tie(it.reason, it.ran, it.retryAfter))
+
+namespace {
+
+Json toBinary(const std::string& bytes) { return Json::binary({ bytes.begin(), bytes.end() }); }
+
+std::string fromBinary(const Json& j)
+{
+    const auto& bytes = j.get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+} // namespace
+
+static void to_json(Json& j, const Request& it)
+{
+    j = pack(it.service, it.key, it.slot, it.rank, it.order, it.idempotent, it.idempotencyKey, it.deadline, it.method,
+        it.target, it.headers, it.fingerprint);
+    j.push_back(toBinary(it.body));
+}
+
+static void from_json(const Json& j, Request& it)
+{
+    unpack(j, it.service, it.key, it.slot, it.rank, it.order, it.idempotent, it.idempotencyKey, it.deadline, it.method,
+        it.target, it.headers, it.fingerprint);
+    it.body = fromBinary(j.at(12));
+}
+
+static void to_json(Json& j, const Reply& it)
+{
+    if (const auto* refusal = std::get_if<Refusal>(&it)) {
+        j = *refusal;
+        return;
+    }
+    const auto& answer = std::get<Answer>(it);
+    j = pack(answer.status, answer.headers);
+    j.push_back(toBinary(answer.body));
+}
+
+static void from_json(const Json& j, Reply& it)
+{
+    if (!j.at(2).is_binary()) {
+        it = j.get<Refusal>();
+        return;
+    }
+    Answer answer;
+    unpack(j, answer.status, answer.headers);
+    answer.body = fromBinary(j.at(2));
+    it = std::move(answer);
+}
+
+PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation))
+PISTACHIOSPUR_WIRE(
+    Heartbeat, std::tie(it.incarnation, it.leaving, it.isReply, it.revision, it.rumours, it.suspicions))
+PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since))
+PISTACHIOSPUR_WIRE(ReplicaBatch, std::tie(it.batch))
+PISTACHIOSPUR_WIRE(ReplicaSnapshot, std::tie(it.snapshot))
+PISTACHIOSPUR_WIRE(UpstreamReport, std::tie(it.service, it.upstream, it.lost))
+PISTACHIOSPUR_WIRE(StopRenewing, std::tie(it.upstream, it.fence))
+PISTACHIOSPUR_WIRE(RenewalStopped, std::tie(it.upstream, it.fence, it.remaining))
+PISTACHIOSPUR_WIRE(ReleaseQuery, std::tie(it.upstream))
+PISTACHIOSPUR_WIRE(RenewerStanding, std::tie(it.applied, it.coordinating, it.settled, it.remaining))
+PISTACHIOSPUR_WIRE(ReleaseReport, std::tie(it.upstream, it.standing))
+PISTACHIOSPUR_WIRE(Relay, std::tie(it.id, it.upstream, it.request))
+PISTACHIOSPUR_WIRE(RelayReply, std::tie(it.id, it.reply))
+PISTACHIOSPUR_WIRE(RelayCancel, std::tie(it.id))
+
+namespace {
+
+template <std::size_t Index = 0> Message decodeAs(std::size_t kind, const Json& body)
+{
+    if constexpr (Index < std::variant_size_v<Message>) {
+        if (kind == Index)
+            return body.get<std::variant_alternative_t<Index, Message>>();
+        return decodeAs<Index + 1>(kind, body);
+    } else {
+        throw std::out_of_range("message kind");
+    }
+}
+
+} // namespace
+
+std::string encode(const Message& message)
+{
+    const Json envelope = std::visit([&](const auto& it) { return pack(message.index(), it); }, message);
+    std::string bytes;
+    Json::to_cbor(envelope, bytes);
+    return bytes;
+}
+
+// The codec library reports malformed input by exceptions; they end here.
+std::optional<Message> decode(const std::string& bytes)
+{
+    try {
+        const Json envelope = Json::from_cbor(bytes);
+        return decodeAs(envelope.at(0).get<std::size_t>(), envelope.at(1));
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/peers/messages.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "membership/members.h"
+#include "ownership/release.h"
+#include "pistachiospur/request.h"
+#include "platform/replica.h"
+#include "requests/quarantine.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+// What hosts say to one another. Encoded in CBOR, one message a WebSocket frame.
+namespace pistachiospur {
+
+// First on each link, in both directions.
+struct Hello {
+    HostName host;
+    Incarnation incarnation;
+};
+
+struct Heartbeat {
+    Incarnation incarnation;
+    bool leaving = false;
+    bool isReply = false;
+    StoreRevision revision; // of the sender's replica
+    std::vector<Rumour> rumours;
+    std::vector<Suspicion> suspicions;
+};
+
+// Asks for everything after a revision.
+struct ReplicaRequest {
+    StoreRevision since;
+};
+
+struct ReplicaBatch {
+    ChangeBatch batch;
+};
+
+struct ReplicaSnapshot {
+    Snapshot snapshot;
+};
+
+// A coordinator tells the planner that an upstream answers no more, or again.
+struct UpstreamReport {
+    ServiceName service;
+    UpstreamName upstream;
+    bool lost = false;
+};
+
+// The planner asks a renewer to promise not to renew under a fence or an older one.
+struct StopRenewing {
+    UpstreamName upstream;
+    Fence fence;
+};
+
+struct RenewalStopped {
+    UpstreamName upstream;
+    Fence fence;
+    Millis remaining {}; // how long the sender's last grant can still be in force
+};
+
+// The planner asks a renewer how far it is with the marks of a planned move.
+struct ReleaseQuery {
+    UpstreamName upstream;
+};
+
+struct ReleaseReport {
+    UpstreamName upstream;
+    RenewerStanding standing;
+};
+
+// An entry host hands a request to the coordinator of the owner.
+struct Relay {
+    std::uint64_t id = 0; // of the sender
+    UpstreamName upstream;
+    Request request; // its deadline counts from the receipt
+};
+
+struct RelayReply {
+    std::uint64_t id = 0;
+    Reply reply;
+};
+
+// The caller has gone, or its deadline has passed.
+struct RelayCancel {
+    std::uint64_t id = 0;
+};
+
+using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
+    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel>;
+
+std::string encode(const Message&);
+// Nothing when the bytes are not one whole, well-formed message.
+std::optional<Message> decode(const std::string& bytes);
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/platform/store.cpp
@@ -0,0 +1,207 @@
+#include "store.h"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+namespace pistachiospur {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Longest wait for news on a watch before it is opened anew: a connection may have gone silent.
+constexpr Millis kWatchLife { 10000 };
+
+std::string decode(const Json& object, const char* field)
+{
+    std::string bytes;
+    const auto it = object.find(field);
+    if (it != object.end() && it->is_string())
+        absl::Base64Unescape(it->get_ref<const std::string&>(), &bytes);
+    return bytes;
+}
+
+// The gateway writes 64-bit numbers as texts.
+StoreRevision revisionIn(const Json& object, const char* field)
+{
+    const auto it = object.find(field);
+    if (it == object.end())
+        return {};
+    return { it->is_string() ? std::strtoull(it->get_ref<const std::string&>().c_str(), nullptr, 10)
+                             : it->get<std::uint64_t>() };
+}
+
+StoreRevision headerRevision(const Json& answer)
+{
+    const auto it = answer.find("header");
+    return it == answer.end() ? StoreRevision {} : revisionIn(*it, "revision");
+}
+
+// The key after the last one that begins with a prefix.
+std::string rangeEnd(std::string prefix)
+{
+    ++prefix.back();
+    return prefix;
+}
+
+Json rangeOf(const std::string& prefix)
+{
+    return { { "key", absl::Base64Escape(prefix) }, { "range_end", absl::Base64Escape(rangeEnd(prefix)) } };
+}
+
+Json encodeWrite(const std::string& prefix, const ConditionalWrite& write)
+{
+    Json compare = Json::array(), success = Json::array();
+    for (const auto& it : write.expected) {
+        compare.push_back({ { "key", absl::Base64Escape(prefix + it.key) }, { "target", "MOD" }, { "result", "EQUAL" },
+            { "mod_revision", std::to_string(it.version.value) } });
+    }
+    for (const auto& it : write.puts) {
+        const std::string key = absl::Base64Escape(prefix + it.key);
+        if (it.text)
+            success.push_back({ { "requestPut", { { "key", key }, { "value", absl::Base64Escape(*it.text) } } } });
+        else
+            success.push_back({ { "requestDeleteRange", { { "key", key } } } });
+    }
+    return { { "compare", compare }, { "success", success } };
+}
+
+StoreError errorOf(const HttpOutcome& outcome, const std::string& endpoint, Millis waited)
+{
+    StoreError error { endpoint, waited, WriteOutcome::unknown, 0 };
+    if (const auto* failure = std::get_if<HttpFailure>(&outcome))
+        error.outcome = failure->fault == HttpFault::notSent ? WriteOutcome::notApplied : WriteOutcome::unknown;
+    else
+        error.httpStatus = std::get<HttpAnswer>(outcome).status;
+    return error;
+}
+
+// The answer's JSON when the call succeeded.
+std::optional<Json> goodAnswer(const HttpOutcome& outcome)
+{
+    const auto* answer = std::get_if<HttpAnswer>(&outcome);
+    if (!answer || answer->status != 200)
+        return std::nullopt;
+    Json object = Json::parse(answer->body, nullptr, false);
+    return object.is_object() ? std::optional(std::move(object)) : std::nullopt;
+}
+
+Snapshot decodeSnapshot(const Json& answer, const std::string& prefix)
+{
+    Snapshot snapshot { headerRevision(answer), {} };
+    const auto kvs = answer.find("kvs");
+    if (kvs == answer.end())
+        return snapshot;
+    for (const auto& it : *kvs)
+        snapshot.values[decode(it, "key").substr(prefix.size())] = { decode(it, "value"), revisionIn(it, "mod_revision") };
+    return snapshot;
+}
+
+KeyChange decodeEvent(const Json& event, const std::string& prefix)
+{
+    const Json& kv = event.at("kv");
+    KeyChange change { decode(kv, "key").substr(prefix.size()), std::nullopt, revisionIn(kv, "mod_revision") };
+    if (event.value("type", "PUT") != "DELETE")
+        change.text = decode(kv, "value");
+    return change;
+}
+
+} // namespace
+
+Store::Store(HttpClient& http, std::vector<Endpoint> endpoints, std::string prefix, Millis timeout)
+    : m_http(http)
+    , m_endpoints(std::move(endpoints))
+    , m_prefix(std::move(prefix))
+    , m_timeout(timeout)
+{
+}
+
+HttpCall Store::callTo(const char* path, std::string body) const
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + m_endpoints[m_endpoint % m_endpoints.size()].text() + path;
+    call.headers = { { "Content-Type", "application/json" } };
+    call.body = std::move(body);
+    call.timeout = m_timeout;
+    return call;
+}
+
+void Store::read(const std::string& below, std::function<void(ReadResult)> callback)
+{
+    ++m_calls;
+    auto call = callTo("/v3/kv/range", rangeOf(m_prefix + below).dump());
+    m_http.start(call, [this, url = call.url, callback = std::move(callback)](const HttpOutcome& outcome) {
+        if (const auto answer = goodAnswer(outcome))
+            return callback(decodeSnapshot(*answer, m_prefix));
+        tryNextEndpoint();
+        auto error = errorOf(outcome, url, m_timeout);
+        error.outcome = WriteOutcome::notApplied;
+        callback(error);
+    });
+}
+
+// A conditional write may be resent by the HTTP library on a dead connection without harm: the second try then finds
+// the versions changed and reports a conflict, which the caller settles by reading.
+void Store::write(const ConditionalWrite& write, std::function<void(WriteResult)> callback)
+{
+    ++m_calls;
+    auto call = callTo("/v3/kv/txn", encodeWrite(m_prefix, write).dump());
+    m_http.start(call, [this, url = call.url, callback = std::move(callback)](const HttpOutcome& outcome) {
+        const auto answer = goodAnswer(outcome);
+        if (!answer) {
+            tryNextEndpoint();
+            return callback(errorOf(outcome, url, m_timeout));
+        }
+        if (answer->value("succeeded", false))
+            return callback(Written { headerRevision(*answer) });
+        callback(WriteConflict { headerRevision(*answer) });
+    });
+}
+
+void Store::watch(StoreRevision after, OnBatch onBatch, OnWatchEnd onEnd)
+{
+    stopWatch();
+    ++m_calls;
+    m_watched = after;
+    m_watchBuffer.clear();
+    m_onBatch = std::move(onBatch);
+    Json create = rangeOf(m_prefix);
+    create["start_revision"] = std::to_string(after.next().value);
+    auto call = callTo("/v3/watch", Json { { "create_request", create } }.dump());
+    call.timeout = kWatchLife;
+    call.onPiece = [this](const char* data, std::size_t n) { onWatchPiece(data, n); };
+    m_watchCall = m_http.start(call, [this, url = call.url, onEnd = std::move(onEnd)](const HttpOutcome& outcome) {
+        m_watchCall = 0;
+        const auto* failure = std::get_if<HttpFailure>(&outcome);
+        if (!failure || failure->fault != HttpFault::timeout)
+            tryNextEndpoint();
+        onEnd(errorOf(outcome, url, kWatchLife));
+    });
+}
+
+void Store::stopWatch()
+{
+    if (m_watchCall)
+        m_http.cancel(m_watchCall);
+    m_watchCall = 0;
+}
+
+// Each line is one answer; the changes in it carry on from the revision that was seen last.
+void Store::onWatchPiece(const char* data, std::size_t n)
+{
+    m_watchBuffer.append(data, n);
+    for (auto end = m_watchBuffer.find('\n'); end != std::string::npos; end = m_watchBuffer.find('\n')) {
+        const Json line = Json::parse(m_watchBuffer.substr(0, end), nullptr, false);
+        m_watchBuffer.erase(0, end + 1);
+        if (!line.is_object() || !line.contains("result") || !line["result"].contains("events"))
+            continue;
+        ChangeBatch batch { m_watched, headerRevision(line["result"]), {} };
+        for (const auto& it : line["result"]["events"])
+            batch.changes.push_back(decodeEvent(it, m_prefix));
+        m_watched = std::max(m_watched, batch.to);
+        m_onBatch(std::move(batch));
+    }
+}
+
+} // namespace pistachiospur
--- /dev/null
+++ b/src/platform/upstream.cpp
@@ -0,0 +1,166 @@
+#include "upstream.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace pistachiospur {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr const char* kVerdicts[] = { "accepted", "stale-challenge", "outdated-term", "slots-needed" };
+
+std::string urlOf(const Upstream& upstream, const std::string& target)
+{
+    return "http://" + upstream.endpoint.text() + target;
+}
+
+} // namespace
+
+std::string encodeRenewal(const Renewal& renewal)
+{
+    Json object = { { "holder", renewal.holder }, { "term", renewal.term.value },
+        { "challenge", renewal.challenge.value }, { "digest", renewal.digest } };
+    if (renewal.hasSlots) {
+        Json slots = Json::array();
+        for (const auto& it : renewal.slots)
+            slots.push_back({ it.slot.value, it.epoch.value });
+        object["slots"] = slots;
+    }
+    return object.dump();
+}
+
+// The JSON library reports wrong types by exceptions; they end here.
+std::optional<Renewal> decodeRenewal(const std::string& text)
+{
+    try {
+        const Json object = Json::parse(text);
+        Renewal renewal;
+        renewal.holder = object.at("holder");
+        renewal.term = Term { object.at("term").get<std::uint64_t>() };
+        renewal.challenge = Challenge { object.at("challenge").get<std::uint64_t>() };
+        renewal.digest = object.at("digest");
+        renewal.hasSlots = object.contains("slots");
+        if (renewal.hasSlots) {
+            for (const auto& it : object["slots"])
+                renewal.slots.push_back({ SlotId { it.at(0).get<std::uint32_t>() }, Epoch { it.at(1).get<std::uint64_t>() } });
+        }
+        return renewal;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encodeRenewalReply(const RenewalReply& reply)
+{
+    Json busy = Json::array();
+    for (const auto& it : reply.busy)
+        busy.push_back(it.value);
+    return Json { { "verdict", kVerdicts[static_cast<int>(reply.verdict)] }, { "term", reply.term.value },
+        { "challenge", reply.challenge.value }, { "busy", busy } }
+        .dump();
+}
+
+std::optional<RenewalReply> decodeRenewalReply(const std::string& text)
+{
+    try {
+        const Json object = Json::parse(text);
+        const std::string verdict = object.at("verdict");
+        const auto it = std::find(std::begin(kVerdicts), std::end(kVerdicts), verdict);
+        if (it == std::end(kVerdicts))
+            return std::nullopt;
+        RenewalReply reply;
+        reply.verdict = static_cast<RenewalVerdict>(it - std::begin(kVerdicts));
+        reply.term = Term { object.at("term").get<std::uint64_t>() };
+        reply.challenge = Challenge { object.at("challenge").get<std::uint64_t>() };
+        for (const auto& slot : object.at("busy"))
+            reply.busy.push_back(SlotId { slot.get<std::uint32_t>() });
+        return reply;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+HttpCall renewalCall(const Upstream& upstream, const Renewal& renewal, Millis timeout)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = urlOf(upstream, kGrantPath);
+    call.headers = { { "Content-Type", "application/json" } };
+    call.body = encodeRenewal(renewal);
+    call.timeout = timeout;
+    return call;
+}
+
+HttpCall requestCall(const Upstream& upstream, const Request& request, SlotGrant slot, Term term, Millis now)
+{
+    HttpCall call;
+    call.method = request.method;
+    call.url = urlOf(upstream, request.target);
+    call.headers.assign(request.headers.begin(), request.headers.end());
+    call.headers.emplace_back(kSlotHeader, std::to_string(slot.slot.value));
+    call.headers.emplace_back(kEpochHeader, std::to_string(slot.epoch.value));
+    call.headers.emplace_back(kTermHeader, std::to_string(term.value));
+    call.timeout = std::max(Millis(1), request.deadline - now);
+    call.headers.emplace_back(kDeadlineHeader, std::to_string(call.timeout.count()));
+    call.body = request.body;
+    call.freshConnection = !request.idempotent;
+    return call;
+}
+
+namespace {
+
+Refusal interpretFailure(HttpFault fault)
+{
+    switch (fault) {
+    case HttpFault::notSent:
+        return notRun(RefusalReason::upstreamUnreachable);
+    case HttpFault::timeout:
+        return maybeRun(RefusalReason::upstreamTimeout);
+    case HttpFault::broken:
+    case HttpFault::tooLarge:
+        break;
+    }
+    return maybeRun(RefusalReason::upstreamBroken);
+}
+
+bool hasLength(const HttpAnswer& answer)
+{
+    return answer.headers.count("content-length") || answer.headers.count("transfer-encoding") || answer.status == 204
+        || answer.status == 304;
+}
+
+bool isHopHeader(const std::string& name)
+{
+    return name == "connection" || name == "keep-alive" || name == "transfer-encoding" || name == "content-length"
+        || name == "date";
+}
+
+} // namespace
+
+Reply interpret(HttpOutcome outcome)
+{
+    if (const auto* failure = std::get_if<HttpFailure>(&outcome))
+        return interpretFailure(failure->fault);
+    auto& answer = std::get<HttpAnswer>(outcome);
+    const auto ran = answer.headers.find(kRanHeader);
+    const bool refused = ran != answer.headers.end() && ran->second == "no";
+    if (refused && answer.status == kMisdirected)
+        return notRun(RefusalReason::upstreamDisowned);
+    if (refused && answer.status == kUnavailable)
+        return notRun(RefusalReason::upstreamShed, Millis(100));
+    if (!hasLength(answer))
+        return maybeRun(RefusalReason::upstreamBroken);
+    Answer whole { answer.status, {}, std::move(answer.body) };
+    for (auto& it : answer.headers) {
+        if (!isHopHeader(it.first))
+            whole.headers.emplace_back(it.first, it.second);
+    }
+    return whole;
+}
+
+} // namespace pistachiospur
