--- a/src/cli/bench.cpp
+++ b/src/cli/bench.cpp
@@ -203,6 +203,7 @@
     OwnershipTable table;
     const ServiceName service = "atelier";
     std::vector<UpstreamName> targets;
+    targets.reserve(30);
     for (int n = 0; n < 30; ++n)
         targets.push_back("atelier-" + std::to_string(10 + n));
     constexpr std::uint32_t slots = 4096;
@@ -246,7 +247,8 @@
             std::snprintf(buf, sizeof buf, "%-19s %-7s %-8s %8llu %8llu %8llu %8llu %8.0f %8.0f\n",
                 scenario.scenario.c_str(), scenario.policy.c_str(), it.rank.c_str(),
                 static_cast<unsigned long long>(it.offered), static_cast<unsigned long long>(it.served),
-                static_cast<unsigned long long>(it.late), static_cast<unsigned long long>(it.refused), it.p50Ms, it.p99Ms);
+                static_cast<unsigned long long>(it.late), static_cast<unsigned long long>(it.refused), it.p50Ms,
+                it.p99Ms);
             table += buf;
         }
     }
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -34,34 +34,33 @@
 {
 }
 
-leaf::result<Published> OperatorClient::readConfiguration()
+leaf::result<Snapshot> OperatorClient::readAndWait(const std::string& below)
 {
     ReadResult result;
-    m_store.read(std::string(kLivePrefix) + "config/", [&](ReadResult it) {
+    m_store.read(below, [&](ReadResult it) {
         result = std::move(it);
         breakLoop();
     });
     runLoop();
     if (const auto* error = std::get_if<StoreError>(&result))
         return leaf::new_error(*error);
+    return std::get<Snapshot>(std::move(result));
+}
+
+leaf::result<Published> OperatorClient::readConfiguration()
+{
+    BOOST_LEAF_AUTO(snapshot, readAndWait(std::string(kLivePrefix) + "config/"));
     std::map<std::string, StoredValue> below;
-    for (auto& [key, value] : std::get<Snapshot>(result).values)
+    for (auto& [key, value] : snapshot.values)
         below[key.substr(std::string(kLivePrefix).size())] = value;
     return decodePublished(below);
 }
 
 leaf::result<std::vector<Json>> OperatorClient::readHistory(std::size_t most)
 {
-    ReadResult result;
-    m_store.read(kHistoryPrefix, [&](ReadResult it) {
-        result = std::move(it);
-        breakLoop();
-    });
-    runLoop();
-    if (const auto* error = std::get_if<StoreError>(&result))
-        return leaf::new_error(*error);
+    BOOST_LEAF_AUTO(snapshot, readAndWait(kHistoryPrefix));
     std::vector<Json> changes;
-    const auto& values = std::get<Snapshot>(result).values;
+    const auto& values = snapshot.values;
     for (auto it = values.rbegin(); it != values.rend() && changes.size() < most; ++it)
         changes.push_back(Json::parse(it->second.text, nullptr, false));
     return changes;
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -34,6 +34,7 @@
     const std::vector<Endpoint>& hosts() const { return m_hosts; }
 
 private:
+    boost::leaf::result<Snapshot> readAndWait(const std::string& below);
     WriteResult writeAndWait(const ConditionalWrite&);
     boost::leaf::result<Revision> settle(const StoreError&, const Published& base, const std::string& changeId);
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -23,7 +23,8 @@
 {
     std::random_device device;
     char buf[40];
-    std::snprintf(buf, sizeof buf, "%llx-%08x%08x", static_cast<unsigned long long>(wallNow().count()), device(), device());
+    std::snprintf(
+        buf, sizeof buf, "%llx-%08x%08x", static_cast<unsigned long long>(wallNow().count()), device(), device());
     return buf;
 }
 
@@ -171,8 +172,9 @@
 
 std::string statusText(const Json& page)
 {
-    std::string text = page.at("host").get<std::string>() + ": configuration revision " + page.at("config_revision").dump()
-        + ", store revision " + page.at("store_revision").dump() + ", " + page.at("pending").dump() + " pending\n";
+    std::string text = page.at("host").get<std::string>() + ": configuration revision "
+        + page.at("config_revision").dump() + ", store revision " + page.at("store_revision").dump() + ", "
+        + page.at("pending").dump() + " pending\n";
     for (const auto& it : page.at("hosts"))
         text += "  host " + it.at("host").get<std::string>() + " in " + it.at("data_centre").get<std::string>() + ": "
             + it.at("state").get<std::string>() + "\n";
@@ -202,7 +204,8 @@
             best = &*page;
     }
     if (!best)
-        return leaf::new_error(HostError { context.client.hosts().empty() ? Endpoint {} : context.client.hosts()[0], 0 });
+        return leaf::new_error(
+            HostError { context.client.hosts().empty() ? Endpoint {} : context.client.hosts()[0], 0 });
     for (const auto& it : best->at("upstreams"))
         text += "upstream " + it.at("upstream").get<std::string>() + ": " + it.at("state").get<std::string>()
             + (it.at("draining").get<bool>() ? ", draining" : "") + ", " + it.at("slots").dump()
@@ -231,7 +234,8 @@
             continue;
         const Json& it = *page;
         const std::string name = it.at("owner").is_null() ? "nobody" : it.at("owner").get<std::string>();
-        print(context, it, name + " owns slot " + it.at("slot").dump() + " under epoch " + it.at("epoch").dump() + "\n");
+        print(
+            context, it, name + " owns slot " + it.at("slot").dump() + " under epoch " + it.at("epoch").dump() + "\n");
         return ExitStatus::ok;
     }
     return leaf::new_error(NotFoundError { "service, or host that answers", context.arguments[0] });
@@ -262,7 +266,8 @@
             std::cerr << "host " << endpoint.text() << " does not answer and is not in the report\n";
     }
     if (pages.empty())
-        return leaf::new_error(HostError { context.client.hosts().empty() ? Endpoint {} : context.client.hosts()[0], 0 });
+        return leaf::new_error(
+            HostError { context.client.hosts().empty() ? Endpoint {} : context.client.hosts()[0], 0 });
     const auto rows = sumBurn(pages);
     if (context.output == OutputFormat::html)
         std::cout << burnHtml(rows);
@@ -285,7 +290,8 @@
     static const std::vector<CommandInfo> table = {
         { "check", "FILE", "check a configuration file; changes nothing", 1, 1, check },
         { "diff", "FILE", "show what applying a file would change", 1, 1, diff },
-        { "apply", "FILE", "publish a file as the whole configuration; --based_on=N refuses any other base", 1, 1, apply },
+        { "apply", "FILE", "publish a file as the whole configuration; --based_on=N refuses any other base", 1, 1,
+            apply },
         { "get", "[KIND [NAME]]", "print the published objects", 0, 2, get },
         { "edit", "KIND NAME FIELD=JSON...", "change fields of one object and publish", 3, 64, edit },
         { "history", "", "list the newest published changes", 0, 0, history },
@@ -304,7 +310,8 @@
         if (name != it.name)
             continue;
         if (context.arguments.size() < it.least || context.arguments.size() > it.greatest)
-            return leaf::new_error(UsageError { name, std::string("usage: pistachiospur ") + it.name + " " + it.arguments });
+            return leaf::new_error(
+                UsageError { name, std::string("usage: pistachiospur ") + it.name + " " + it.arguments });
         return it.run(context);
     }
     return leaf::new_error(UsageError { name, "no such command; try pistachiospur help" });
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -123,7 +123,8 @@
         },
         [](const HostError& error) {
             return fail(ExitStatus::hostUnreachable, "host-unreachable",
-                "host " + error.endpoint.text() + " does not answer (HTTP status " + std::to_string(error.httpStatus) + ")");
+                "host " + error.endpoint.text() + " does not answer (HTTP status " + std::to_string(error.httpStatus)
+                    + ")");
         },
         [](const NotFoundError& error) {
             return fail(ExitStatus::notFound, "not-found", "no " + error.kind + " " + error.name);
--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -36,9 +36,8 @@
             sum.first.rates.push_back(burnRate(it, sum.first.objective));
         rows.push_back(sum.first);
     }
-    std::sort(rows.begin(), rows.end(), [](const BurnRow& a, const BurnRow& b) {
-        return std::tie(a.order, a.service) < std::tie(b.order, b.service);
-    });
+    std::sort(rows.begin(), rows.end(),
+        [](const BurnRow& a, const BurnRow& b) { return std::tie(a.order, a.service) < std::tie(b.order, b.service); });
     return rows;
 }
 
@@ -87,7 +86,11 @@
 {
     std::string out;
     for (const char it : text)
-        out += it == '<' ? "&lt;" : it == '>' ? "&gt;" : it == '&' ? "&amp;" : it == '"' ? "&quot;" : std::string(1, it);
+        out += it == '<' ? "&lt;"
+            : it == '>'  ? "&gt;"
+            : it == '&'  ? "&amp;"
+            : it == '"'  ? "&quot;"
+                         : std::string(1, it);
     return out;
 }
 
@@ -119,9 +122,9 @@
                        "<tr><th>service<th>rank<th>target<th>objective<th>good<th>bad<th>verdict<th>burn rates</tr>";
     char buf[200];
     for (const auto& it : rows) {
-        std::snprintf(buf, sizeof buf, "<td>%lld ms<td>%.5f<td>%llu<td>%llu<td>%s<td>", static_cast<long long>(it.targetMs),
-            it.objective, static_cast<unsigned long long>(it.good), static_cast<unsigned long long>(it.bad),
-            burnVerdict(it).c_str());
+        std::snprintf(buf, sizeof buf, "<td>%lld ms<td>%.5f<td>%llu<td>%llu<td>%s<td>",
+            static_cast<long long>(it.targetMs), it.objective, static_cast<unsigned long long>(it.good),
+            static_cast<unsigned long long>(it.bad), burnVerdict(it).c_str());
         html += "<tr><td>" + escaped(it.service) + "<td>" + escaped(it.rank) + buf + bars(it) + "</tr>";
     }
     return html + "</table>\n";
--- a/src/config/check.cpp
+++ b/src/config/check.cpp
@@ -44,8 +44,8 @@
 {
     Service service;
     service.name = id.second;
-    service.mode = reader.oneOf("mode", { "keyed", "pooled" }, "keyed") == "keyed" ? ServiceMode::keyed
-                                                                                   : ServiceMode::pooled;
+    service.mode
+        = reader.oneOf("mode", { "keyed", "pooled" }, "keyed") == "keyed" ? ServiceMode::keyed : ServiceMode::pooled;
     service.slots = static_cast<std::uint32_t>(reader.integerOr("slots", kServiceSlotBounds, kDefaultServiceSlots));
     for (const auto& it : reader.objects("routes", 1))
         service.routes.push_back(readRoute(it, id, errors));
@@ -121,7 +121,8 @@
     void require(const Objects& objects, const std::string& from, const char* field, const std::string& name)
     {
         if (!name.empty() && !objects.count(name))
-            m_errors.push_back({ FieldFault::unknownReference, from, field, Json(name).dump(), "the name of an object" });
+            m_errors.push_back(
+                { FieldFault::unknownReference, from, field, Json(name).dump(), "the name of an object" });
     }
 
     // An upstream works for one service, so that its grant, queue and coordinator have one place.
@@ -136,8 +137,8 @@
         }
     }
 
-    void claim(std::map<std::string, std::string>& taken, const std::string& what, const std::string& from,
-        const char* field)
+    void claim(
+        std::map<std::string, std::string>& taken, const std::string& what, const std::string& from, const char* field)
     {
         const auto [it, fresh] = taken.emplace(what, from);
         if (!fresh)
@@ -154,7 +155,8 @@
             shares += rank.share;
         }
         if (shares > 1)
-            m_errors.push_back({ FieldFault::conflict, "ranks", "share", std::to_string(shares), "a sum of at most 1" });
+            m_errors.push_back(
+                { FieldFault::conflict, "ranks", "share", std::to_string(shares), "a sum of at most 1" });
     }
 
     const Configuration& m_configuration;
--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -56,8 +56,7 @@
         fault(FieldFault::wrongType, "", m_object.dump().substr(0, 80), "an object");
 }
 
-void FieldReader::fault(
-    FieldFault kind, const std::string& field, const std::string& value, const std::string& allowed)
+void FieldReader::fault(FieldFault kind, const std::string& field, const std::string& value, const std::string& allowed)
 {
     m_errors.push_back({ kind, m_name, field, value, allowed });
 }
@@ -115,7 +114,8 @@
 
 std::int64_t FieldReader::integerOr(const char* field, Bounds bounds, std::int64_t fallback)
 {
-    return m_object.is_object() && m_object.contains(field) ? integer(field, bounds) : (m_known.insert(field), fallback);
+    return m_object.is_object() && m_object.contains(field) ? integer(field, bounds)
+                                                            : (m_known.insert(field), fallback);
 }
 
 double FieldReader::fractionOr(const char* field, double fallback)
@@ -148,7 +148,7 @@
 
 std::string FieldReader::oneOf(const char* field, const std::vector<std::string>& words, const std::string& fallback)
 {
-    const std::string found = fallback.empty() ? text(field) : textOr(field, fallback);
+    std::string found = fallback.empty() ? text(field) : textOr(field, fallback);
     std::string allowed;
     for (const auto& it : words) {
         if (it == found)
@@ -167,7 +167,8 @@
     std::vector<std::string> found;
     if (!it)
         return found;
-    const bool right = it->is_array() && std::all_of(it->begin(), it->end(), [](const Json& n) { return n.is_string(); });
+    const bool right
+        = it->is_array() && std::all_of(it->begin(), it->end(), [](const Json& n) { return n.is_string(); });
     if (!right) {
         fault(FieldFault::wrongType, field, it->dump().substr(0, 80), allowed);
         return found;
--- a/src/config/publish.cpp
+++ b/src/config/publish.cpp
@@ -45,9 +45,10 @@
 
 std::string encodeHead(const ConfigHead& head)
 {
-    return Json { { "revision", head.revision.value }, { "change_id", head.changeId }, { "digest", head.digest },
-        { "published_at_ms", head.publishedAt.count() } }
-        .dump();
+    return Json {
+        { "revision", head.revision.value }, { "change_id", head.changeId }, { "digest", head.digest },
+        { "published_at_ms", head.publishedAt.count() }
+    }.dump();
 }
 
 std::optional<ConfigHead> decodeHead(const std::string& text, StoreRevision version)
@@ -94,8 +95,8 @@
     return changes;
 }
 
-std::optional<ConditionalWrite> publication(
-    const Published& base, const ChangeSet& changes, const std::string& changeId, Millis now, std::vector<FieldError>& errors)
+std::optional<ConditionalWrite> publication(const Published& base, const ChangeSet& changes,
+    const std::string& changeId, Millis now, std::vector<FieldError>& errors)
 {
     if (changes.size() > kGreatestChange) {
         errors.push_back({ FieldFault::changeTooLarge, "change", "objects", std::to_string(changes.size()),
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -22,14 +22,14 @@
             "a renewal unanswered for so long has failed", true },
         { "heartbeat_interval_ms", &Limits::heartbeatIntervalMs, 200, 20, 5000, "ms", "time between two heartbeats",
             true },
-        { "suspect_after_ms", &Limits::suspectAfterMs, 500, 50, 30000, "ms",
-            "silence after which a host is suspected", true },
+        { "suspect_after_ms", &Limits::suspectAfterMs, 500, 50, 30000, "ms", "silence after which a host is suspected",
+            true },
         { "dead_after_ms", &Limits::deadAfterMs, 700, 100, 60000, "ms", "silence after which a host is taken for dead",
             true },
         { "host_list_interval_ms", &Limits::hostListIntervalMs, 1000, 100, 60000, "ms",
             "time between two reads of the platform's host list", true },
-        { "store_timeout_ms", &Limits::storeTimeoutMs, 1000, 50, 30000, "ms", "a store call unanswered for so long failed",
-            true },
+        { "store_timeout_ms", &Limits::storeTimeoutMs, 1000, 50, 30000, "ms",
+            "a store call unanswered for so long failed", true },
         { "default_deadline_ms", &Limits::defaultDeadlineMs, 10000, 10, 600000, "ms",
             "deadline of a request that names none", true },
         { "idempotency_window_ms", &Limits::idempotencyWindowMs, 600000, 1000, 86400000, "ms",
@@ -68,8 +68,8 @@
         reader.fault(FieldFault::conflict, "renewal_interval_ms", std::to_string(limits.renewalIntervalMs),
             "at most a third of grant_ttl_ms");
     if (limits.suspectAfterMs >= limits.deadAfterMs)
-        reader.fault(FieldFault::conflict, "suspect_after_ms", std::to_string(limits.suspectAfterMs),
-            "less than dead_after_ms");
+        reader.fault(
+            FieldFault::conflict, "suspect_after_ms", std::to_string(limits.suspectAfterMs), "less than dead_after_ms");
     return limits;
 }
 
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -61,7 +61,8 @@
     m_coordinators.publishMetrics();
     auto& metrics = m_node.metrics;
     metrics.set("pistachiospur_peer_links", {}, static_cast<double>(m_node.hub.linkCount()));
-    const auto raise = [&](const char* name, double total) { metrics.count(name, {}, total - metrics.counterValue(name)); };
+    const auto raise
+        = [&](const char* name, double total) { metrics.count(name, {}, total - metrics.counterValue(name)); };
     raise("pistachiospur_peer_messages_total", static_cast<double>(m_node.hub.sentMessages()));
     raise("pistachiospur_peer_bytes_total", static_cast<double>(m_node.hub.sentBytes()));
     const Millis now = monotonicNow();
@@ -102,10 +103,11 @@
     }
     for (const auto& [name, record] : m_node.view.ownership.upstreams) {
         const auto object = m_node.view.configuration.upstreams.find(name);
-        upstreams.push_back({ { "upstream", name }, { "state", record.state == UpstreamState::lost ? "lost" : "serving" },
-            { "draining", object != m_node.view.configuration.upstreams.end() && object->second.draining },
-            { "fence", record.fence.value }, { "renewers", record.renewers }, { "slots", slots[name] },
-            { "coordinated_here", m_coordinators.coordinates(name) } });
+        upstreams.push_back(
+            { { "upstream", name }, { "state", record.state == UpstreamState::lost ? "lost" : "serving" },
+                { "draining", object != m_node.view.configuration.upstreams.end() && object->second.draining },
+                { "fence", record.fence.value }, { "renewers", record.renewers }, { "slots", slots[name] },
+                { "coordinated_here", m_coordinators.coordinates(name) } });
     }
     return jsonResponse({ { "host", members.self }, { "config_revision", m_node.view.head.revision.value },
         { "config_digest", m_node.view.head.digest }, { "config_whole", isWhole(m_node.view) },
@@ -129,8 +131,8 @@
     const bool known = table != ownership.services.end() && slot.value < table->second.slots.size();
     const SlotRecord record = known ? table->second.slots[slot.value] : SlotRecord {};
     const auto standing = ownership.upstreams.find(ownership.names.nameOf(record.owner));
-    Json body = { { "service", service->second }, { "key", key->second }, { "slot", slot.value },
-        { "owner", nullptr }, { "epoch", record.epoch.value } };
+    Json body = { { "service", service->second }, { "key", key->second }, { "slot", slot.value }, { "owner", nullptr },
+        { "epoch", record.epoch.value } };
     if (record.owner != kNoUpstream)
         body["owner"] = ownership.names.nameOf(record.owner);
     if (record.movingTo != kNoUpstream)
--- a/src/daemon/coordinator.cpp
+++ b/src/daemon/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/log.h"
 #include "ownership/plan.h"
+#include "ownership/recovery.h"
 #include "platform/upstream.h"
 
 #include <algorithm>
@@ -81,15 +82,6 @@
     }
 }
 
-// A host renews only what the store's record entitles it to, only after it has read the store itself, and never under
-// a fence that it has promised to respect.
-bool Coordinators::mayRenew(const Runner& runner, const UpstreamRecord& record) const
-{
-    const auto& renewers = record.renewers;
-    const bool named = std::find(renewers.begin(), renewers.end(), m_node.members.self) != renewers.end();
-    return named && m_node.readFromStore && record.state == UpstreamState::serving && record.fence > runner.promised;
-}
-
 bool Coordinators::isPreferred(const UpstreamRecord& record) const
 {
     if (m_node.stopping)
@@ -115,12 +107,13 @@
     for (const auto& [name, rank] : m_node.view.configuration.ranks)
         runner->policy.shares[rank.order] = rank.share;
     runner->probing = record.state == UpstreamState::lost && isPreferred(record);
-    if (!mayRenew(*runner, record) || !isPreferred(record)) {
+    if (!m_node.readFromStore || !mayRenew(record, m_node.members.self, runner->promised) || !isPreferred(record)) {
         const bool was = runner->renewer.coordinating;
         stopCoordinating(runner->renewer);
         if (was)
             logInfo("stopped coordinating " + upstream.name);
-        refuseWaiting(*runner, record.state == UpstreamState::lost ? RefusalReason::noOwner : RefusalReason::notCoordinator);
+        refuseWaiting(
+            *runner, record.state == UpstreamState::lost ? RefusalReason::noOwner : RefusalReason::notCoordinator);
         return;
     }
     startCoordinating(runner->renewer, now);
@@ -185,7 +178,10 @@
     const auto* answer = std::get_if<HttpAnswer>(&outcome);
     const auto reply = answer && answer->status == 200 ? decodeRenewalReply(answer->body) : std::nullopt;
     m_node.metrics.count("pistachiospur_renewals_total",
-        { { "result", reply && reply->verdict == RenewalVerdict::accepted ? "accepted" : reply ? "refused" : "failed" } });
+        { { "result",
+            reply && reply->verdict == RenewalVerdict::accepted ? "accepted"
+                : reply                                         ? "refused"
+                                                                : "failed" } });
     if (!reply) {
         onRenewalFailed(runner->renewer, sent, timing, now);
     } else {
@@ -266,7 +262,8 @@
 {
     const Renewer& renewer = runnerOf(name).renewer;
     return { name,
-        { m_node.replica.revision, renewer.coordinating, isSettled(renewer), grantRemaining(renewer, monotonicNow()) } };
+        { m_node.replica.revision, renewer.coordinating, isSettled(renewer),
+            grantRemaining(renewer, monotonicNow()) } };
 }
 
 // Requests ---------------------------------------------------------------------------------------------------------
@@ -389,8 +386,8 @@
     Job& job = node.mapped();
     if (job.running) {
         const bool answered = std::holds_alternative<Answer>(reply);
-        finishRun(runner.queue, job.request.order,
-            answered ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
+        finishRun(
+            runner.queue, job.request.order, answered ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
     }
     if (!job.request.idempotent)
         endOnce(runner.memory, job.request.idempotencyKey->text, reply);
--- a/src/daemon/coordinator.h
+++ b/src/daemon/coordinator.h
@@ -64,7 +64,6 @@
         Millis probeAt {};
     };
 
-    bool mayRenew(const Runner&, const UpstreamRecord&) const;
     bool isPreferred(const UpstreamRecord&) const;
     void refreshRunner(const Placement&, const Upstream&, const UpstreamRecord&);
     void followSlots(Runner&, Millis now);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,7 +33,8 @@
     , m_callerServer(m_node.settings.callers, static_cast<std::size_t>(m_node.settings.limits.maxBodyBytes),
           [this](HttpRequest request, const Responder& responder) { m_entry.onCaller(std::move(request), responder); })
     , m_adminServer(m_node.settings.admin, kAdminBody,
-          [this](const HttpRequest& request, const Responder& responder) { responder.respond(m_admin.answer(request)); })
+          [this](
+              const HttpRequest& request, const Responder& responder) { responder.respond(m_admin.answer(request)); })
     , m_fastTimer([this] {
         m_coordinators.tick();
         m_feed.tick();
@@ -80,26 +81,25 @@
 // Every message between hosts, and the part that it goes to.
 void Daemon::onMessage(const HostName& from, Message message)
 {
-    std::visit(
-        Overloaded {
-            [&](const Hello& it) { onHeard(m_node.members, from, it.incarnation, false, monotonicNow()); },
-            [&](const Heartbeat& it) { m_heartbeats.onHeartbeat(from, it); },
-            [&](const ReplicaRequest& it) { m_feed.onRequest(from, it.since); },
-            [&](const ReplicaBatch& it) { m_feed.onBatch(it.batch, from); },
-            [&](const ReplicaSnapshot& it) { m_feed.onSnapshot(it.snapshot); },
-            [&](const UpstreamReport& it) { m_planner.onReport(it); },
-            [&](const StopRenewing& it) { m_node.send(from, m_coordinators.stopRenewing(it)); },
-            [&](const RenewalStopped& it) { m_planner.onStopped(from, it); },
-            [&](const ReleaseQuery& it) { m_node.send(from, m_coordinators.reportRelease(it.upstream)); },
-            [&](const ReleaseReport& it) { m_planner.onReleaseReport(from, it); },
-            [&](Relay& it) { onRelay(from, std::move(it)); },
-            [&](RelayReply& it) { m_entry.onRelayReply(from, std::move(it)); },
-            [&](const RelayCancel& it) {
-                const auto found = m_relayed.find({ from, it.id });
-                if (found != m_relayed.end())
-                    m_coordinators.cancel(found->second);
-            },
-        },
+    std::visit(Overloaded {
+                   [&](const Hello& it) { onHeard(m_node.members, from, it.incarnation, false, monotonicNow()); },
+                   [&](const Heartbeat& it) { m_heartbeats.onHeartbeat(from, it); },
+                   [&](const ReplicaRequest& it) { m_feed.onRequest(from, it.since); },
+                   [&](const ReplicaBatch& it) { m_feed.onBatch(it.batch, from); },
+                   [&](const ReplicaSnapshot& it) { m_feed.onSnapshot(it.snapshot); },
+                   [&](const UpstreamReport& it) { m_planner.onReport(it); },
+                   [&](const StopRenewing& it) { m_node.send(from, m_coordinators.stopRenewing(it)); },
+                   [&](const RenewalStopped& it) { m_planner.onStopped(from, it); },
+                   [&](const ReleaseQuery& it) { m_node.send(from, m_coordinators.reportRelease(it.upstream)); },
+                   [&](const ReleaseReport& it) { m_planner.onReleaseReport(from, it); },
+                   [&](Relay& it) { onRelay(from, std::move(it)); },
+                   [&](RelayReply& it) { m_entry.onRelayReply(from, std::move(it)); },
+                   [&](const RelayCancel& it) {
+                       const auto found = m_relayed.find({ from, it.id });
+                       if (found != m_relayed.end())
+                           m_coordinators.cancel(found->second);
+                   },
+               },
         message);
 }
 
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -62,7 +62,8 @@
     const Millis now = monotonicNow();
     const AdmitPolicy policy { limit(m_node, &Limits::defaultDeadlineMs) };
     auto admitted = admit(m_node.view.configuration, policy,
-        { std::move(http.method), std::move(http.target), std::move(http.headers), std::move(http.body), http.tooLarge },
+        { std::move(http.method), std::move(http.target), std::move(http.headers), std::move(http.body),
+            http.tooLarge },
         now);
     if (const auto* refusal = std::get_if<Refusal>(&admitted))
         return refuse({}, responder, *refusal);
@@ -157,8 +158,7 @@
             affected.emplace_back(id, pending->attempt);
     }
     for (const auto& [id, attempt] : affected)
-        onReply(id, attempt,
-            lost.opened ? maybeRun(RefusalReason::hostLost) : notRun(RefusalReason::hostUnreachable));
+        onReply(id, attempt, lost.opened ? maybeRun(RefusalReason::hostLost) : notRun(RefusalReason::hostUnreachable));
 }
 
 // Takes the reply of one try. A reply of an earlier try is late and changes nothing.
@@ -195,7 +195,8 @@
     Pending& pending = *m_pending.at(id);
     const bool mayHaveRun = pending.handedOver || pending.retry.runs > 0;
     if (pending.link)
-        m_node.hub.send(pending.host, RelayCancel { id << kAttemptBits | (pending.attempt & ((1u << kAttemptBits) - 1)) });
+        m_node.hub.send(
+            pending.host, RelayCancel { id << kAttemptBits | (pending.attempt & ((1u << kAttemptBits) - 1)) });
     const auto job = pending.job;
     complete(id, mayHaveRun ? maybeRun(RefusalReason::deadlinePassed) : notRun(RefusalReason::deadlinePassed));
     if (job)
@@ -227,7 +228,8 @@
     if (rank == m_node.view.configuration.ranks.end() || (refusal && isCallersFault(refusal->reason)))
         return;
     const auto* answer = std::get_if<Answer>(&reply);
-    const bool good = answer && answer->status < 500 && seconds * 1000 <= static_cast<double>(rank->second.target.count());
+    const bool good
+        = answer && answer->status < 500 && seconds * 1000 <= static_cast<double>(rank->second.target.count());
     countOutcome(m_node.burn[{ request.service, request.rank }], good, monotonicNow());
     if (answer)
         m_node.metrics.observeLatency(request.service, request.rank, seconds);
--- a/src/daemon/heartbeats.cpp
+++ b/src/daemon/heartbeats.cpp
@@ -38,8 +38,8 @@
 
 Heartbeat Heartbeats::makeHeartbeat(bool isReply)
 {
-    return { m_node.members.incarnation, m_node.stopping, isReply, m_node.replica.revision,
-        nextRumours(m_node.members), nextSuspicions(m_node.quarantine) };
+    return { m_node.members.incarnation, m_node.stopping, isReply, m_node.replica.revision, nextRumours(m_node.members),
+        nextSuspicions(m_node.quarantine) };
 }
 
 void Heartbeats::onHeartbeat(const HostName& from, const Heartbeat& heartbeat)
@@ -109,8 +109,7 @@
             logInfo("host " + name + " is gone from the platform's list");
     }
     m_reported = std::move(present);
-    m_node.metrics.set(
-        "pistachiospur_hosts_alive", {}, static_cast<double>(liveHosts(m_node.members).size()));
+    m_node.metrics.set("pistachiospur_hosts_alive", {}, static_cast<double>(liveHosts(m_node.members).size()));
     m_onChange();
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-Node::Node(Settings from, PeerHub::Handlers handlers)
+Node::Node(Settings from, const PeerHub::Handlers& handlers)
     : settings(std::move(from))
     , self { settings.host, Incarnation { static_cast<std::uint64_t>(wallNow().count()) } }
     , http(kGreatestAnswer)
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -15,7 +15,7 @@
 namespace pistachiospur {
 
 struct Node {
-    Node(Settings, PeerHub::Handlers);
+    Node(Settings, const PeerHub::Handlers&);
 
     // Sends to a host, which may be this one: then the message arrives from the loop, as any other.
     void send(const HostName& to, const Message&);
--- a/src/daemon/planner.cpp
+++ b/src/daemon/planner.cpp
@@ -124,8 +124,8 @@
         const bool reported = report != reports.end() && now < report->second + kReportLife;
         reports.erase(name);
         const bool orphaned = serving
-            && std::all_of(record.renewers.begin(), record.renewers.end(),
-                [&](const HostName& it) { return isGone(it); });
+            && std::all_of(
+                record.renewers.begin(), record.renewers.end(), [&](const HostName& it) { return isGone(it); });
         if (!reported && !orphaned)
             continue;
         record.state = serving ? UpstreamState::lost : UpstreamState::serving;
@@ -215,37 +215,30 @@
 {
     const Millis now = monotonicNow();
     const bool ask = now >= state.askedAt + kAskAgain;
-    std::set<UpstreamName> moving;
     const auto& ownership = m_node.view.ownership;
-    const auto table = ownership.services.find(service.name);
-    if (table == ownership.services.end())
-        return false;
-    for (const auto& slot : table->second.slots) {
-        if (slot.movingTo != kNoUpstream)
-            moving.insert(ownership.names.nameOf(slot.owner));
+    std::map<UpstreamName, Release> kept;
+    for (const auto& [name, record] : ownership.upstreams) {
+        const auto moves = completeMoves(ownership, service.name, name);
+        if (moves.empty() || record.state != UpstreamState::serving)
+            continue;
+        Release release = state.releases[name];
+        followRelease(release, record, moves, m_node.replica.revision);
+        std::set<HostName> gone;
+        if (ask)
+            askRenewers(release.awaited, ReleaseQuery { name }, gone);
+        for (const auto& host : gone)
+            onReleaseRenewerGone(release, host);
+        kept[name] = std::move(release);
     }
-    for (auto it = state.releases.begin(); it != state.releases.end();)
-        it = moving.count(it->first) ? std::next(it) : state.releases.erase(it);
-    for (const auto& name : moving) {
-        const auto record = ownership.upstreams.find(name);
-        if (record == ownership.upstreams.end() || record->second.state != UpstreamState::serving)
+    if (ask && !kept.empty())
+        state.askedAt = now;
+    state.releases = std::move(kept);
+    for (const auto& [name, release] : state.releases) {
+        if (!isReleased(release))
             continue;
-        auto& entry = state.releases[name];
-        if (entry.recordVersion != record->second.version)
-            entry = beginRelease(record->second, m_node.replica.revision);
-        if (isReleased(entry)) {
-            write(service.name, "move",
-                pageWrite(service.name, completeMoves(ownership, service.name, name), { name }));
-            state.releases.erase(name);
-            return true;
-        }
-        if (ask) {
-            std::set<HostName> gone;
-            askRenewers(entry.awaited, ReleaseQuery { name }, gone);
-            for (const auto& host : gone)
-                onReleaseRenewerGone(entry, host);
-            state.askedAt = now;
-        }
+        logInfo("moving " + std::to_string(release.moves.size()) + " slots away from " + name);
+        write(service.name, "move", pageWrite(service.name, release.moves, { name }));
+        return true;
     }
     return false;
 }
@@ -287,8 +280,8 @@
 
 // Writing ----------------------------------------------------------------------------------------------------------
 
-ConditionalWrite Planner::pageWrite(const ServiceName& service, const std::vector<SlotChange>& changes,
-    const std::set<UpstreamName>& guardedBy) const
+ConditionalWrite Planner::pageWrite(
+    const ServiceName& service, const std::vector<SlotChange>& changes, const std::set<UpstreamName>& guardedBy) const
 {
     const auto& ownership = m_node.view.ownership;
     ConditionalWrite change;
@@ -321,7 +314,11 @@
         const bool written = std::holds_alternative<Written>(result);
         const bool conflict = std::holds_alternative<WriteConflict>(result);
         m_node.metrics.count("pistachiospur_plan_writes_total",
-            { { "kind", kind }, { "result", written ? "written" : conflict ? "conflict" : "failed" } });
+            { { "kind", kind },
+                { "result",
+                    written        ? "written"
+                        : conflict ? "conflict"
+                                   : "failed" } });
         if (written)
             state.awaited = std::get<Written>(result).revision;
         else if (conflict)
--- a/src/daemon/planner.h
+++ b/src/daemon/planner.h
@@ -44,8 +44,8 @@
     std::vector<HostName> wantedRenewers(const UpstreamRecord*, const Upstream&) const;
     void askRenewers(const std::set<HostName>&, const Message&, std::set<HostName>& gone);
 
-    ConditionalWrite pageWrite(const ServiceName&, const std::vector<SlotChange>&,
-        const std::set<UpstreamName>& guardedBy) const;
+    ConditionalWrite pageWrite(
+        const ServiceName&, const std::vector<SlotChange>&, const std::set<UpstreamName>& guardedBy) const;
     bool isGone(const HostName&) const;
     void write(const ServiceName&, const char* kind, const ConditionalWrite&);
 
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -109,7 +109,7 @@
     CURL* easy = transfer->easy;
     const HttpCall& it = transfer->call;
     for (const auto& [name, value] : it.headers)
-        transfer->headers = curl_slist_append(transfer->headers, (name + ": " + value).c_str());
+        transfer->headers = curl_slist_append(transfer->headers, std::string(name).append(": ").append(value).c_str());
     transfer->headers = curl_slist_append(transfer->headers, "Expect:");
     curl_easy_setopt(easy, CURLOPT_URL, it.url.c_str());
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, it.method.c_str());
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstring>
 #include <system_error>
 #include <unistd.h>
 
@@ -67,7 +66,7 @@
         return 0;
     }
     const std::size_t taken = std::min(n, exchange.pending.size());
-    std::memcpy(buf, exchange.pending.data(), taken);
+    std::copy_n(exchange.pending.data(), taken, buf);
     exchange.pending.erase(0, taken);
     return static_cast<ssize_t>(taken);
 }
@@ -217,10 +216,9 @@
     , m_timer([this] { run(); })
 {
     const int fd = listenOn(at);
-    m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, Internals::onAccess, this,
-        MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED, Internals::onCompleted, nullptr, MHD_OPTION_URI_LOG_CALLBACK,
-        Internals::onTarget, nullptr,
-        MHD_OPTION_CONNECTION_LIMIT, 10000u, MHD_OPTION_END);
+    m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, Internals::onAccess,
+        this, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED, Internals::onCompleted, nullptr,
+        MHD_OPTION_URI_LOG_CALLBACK, Internals::onTarget, nullptr, MHD_OPTION_CONNECTION_LIMIT, 10000u, MHD_OPTION_END);
     if (!m_daemon)
         throw std::system_error(ENOMEM, std::generic_category(), at.text());
     m_port = boundPort(fd);
--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -28,15 +28,13 @@
     return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - start);
 }
 
-Millis wallNow()
-{
-    return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
-}
+Millis wallNow() { return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()); }
 
 Timer::Timer(std::function<void()> callback)
     : m_callback(std::move(callback))
 {
-    ev_init(&m_watcher, [](struct ev_loop*, ev_timer* watcher, int) { static_cast<Timer*>(watcher->data)->m_callback(); });
+    ev_init(
+        &m_watcher, [](struct ev_loop*, ev_timer* watcher, int) { static_cast<Timer*>(watcher->data)->m_callback(); });
     m_watcher.data = this;
 }
 
@@ -63,8 +61,9 @@
 SocketWatcher::SocketWatcher(std::function<void(int)> callback)
     : m_callback(std::move(callback))
 {
-    ev_init(&m_watcher,
-        [](struct ev_loop*, ev_io* watcher, int events) { static_cast<SocketWatcher*>(watcher->data)->m_callback(events); });
+    ev_init(&m_watcher, [](struct ev_loop*, ev_io* watcher, int events) {
+        static_cast<SocketWatcher*>(watcher->data)->m_callback(events);
+    });
     m_watcher.data = this;
 }
 
@@ -84,7 +83,8 @@
 {
     ev_signal_init(
         &m_watcher,
-        [](struct ev_loop*, ev_signal* watcher, int) { static_cast<SignalWatcher*>(watcher->data)->m_callback(); }, signal);
+        [](struct ev_loop*, ev_signal* watcher, int) { static_cast<SignalWatcher*>(watcher->data)->m_callback(); },
+        signal);
     m_watcher.data = this;
     ev_signal_start(defaultLoop(), &m_watcher);
 }
--- a/src/ownership/recovery.cpp
+++ b/src/ownership/recovery.cpp
@@ -7,6 +7,12 @@
 
 namespace pistachiospur {
 
+bool mayRenew(const UpstreamRecord& record, const HostName& host, Fence promised)
+{
+    const bool named = std::find(record.renewers.begin(), record.renewers.end(), host) != record.renewers.end();
+    return named && record.state == UpstreamState::serving && record.fence > promised;
+}
+
 Recovery beginRecovery(const UpstreamRecord& record, Millis now)
 {
     Recovery recovery;
--- a/src/ownership/recovery.h
+++ b/src/ownership/recovery.h
@@ -26,6 +26,9 @@
     Millis expiresAt {}; // on this host's clock
 };
 
+// A host renews only what the store's record entitles it to, and never under a fence that it has promised to respect.
+bool mayRenew(const UpstreamRecord&, const HostName& host, Fence promised);
+
 // Where a recovery stands given the record now in the store. Called for a record that says lost.
 Recovery beginRecovery(const UpstreamRecord&, Millis now);
 // A renewer promised not to renew under the fence or an older one; grants that it made may last `remaining` more.
--- a/src/ownership/release.cpp
+++ b/src/ownership/release.cpp
@@ -2,13 +2,14 @@
 
 namespace pistachiospur {
 
-Release beginRelease(const UpstreamRecord& record, StoreRevision marked)
+void followRelease(Release& release, const UpstreamRecord& record, std::vector<SlotChange> moves, StoreRevision applied)
 {
-    Release release;
-    release.marked = marked;
+    if (release.marked.value != 0 && release.recordVersion == record.version && release.moves == moves)
+        return;
+    release.marked = applied;
+    release.moves = std::move(moves);
     release.recordVersion = record.version;
-    release.awaited.insert(record.renewers.begin(), record.renewers.end());
-    return release;
+    release.awaited = { record.renewers.begin(), record.renewers.end() };
 }
 
 void onRenewerStanding(Release& release, const HostName& host, const RenewerStanding& standing)
@@ -22,8 +23,7 @@
 
 bool isReleased(const Release& release) { return release.awaited.empty(); }
 
-std::vector<SlotChange> completeMoves(
-    const OwnershipTable& table, const ServiceName& service, const UpstreamName& from)
+std::vector<SlotChange> completeMoves(const OwnershipTable& table, const ServiceName& service, const UpstreamName& from)
 {
     std::vector<SlotChange> changes;
     const auto index = table.names.find(from);
--- a/src/ownership/release.h
+++ b/src/ownership/release.h
@@ -11,12 +11,15 @@
 namespace pistachiospur {
 
 struct Release {
-    StoreRevision marked; // store revision that carries the marks
+    StoreRevision marked; // store revision by which all the marks were made
+    std::vector<SlotChange> moves; // the records that complete it
     StoreRevision recordVersion; // of the old owner's record: the renewers asked are those it names
     std::set<HostName> awaited;
 };
 
-Release beginRelease(const UpstreamRecord&, StoreRevision marked);
+// Follows the marks in the table, which is at store revision `applied`. Begins anew when the marks or the renewers have
+// changed, since what renewers have answered so far says nothing about later marks.
+void followRelease(Release&, const UpstreamRecord&, std::vector<SlotChange> moves, StoreRevision applied);
 // A renewer's standing towards the upstream whose slots are to move.
 struct RenewerStanding {
     StoreRevision applied; // store revision that it has taken in
--- a/src/ownership/renewer.cpp
+++ b/src/ownership/renewer.cpp
@@ -12,7 +12,7 @@
     renewer.established = false;
     renewer.term = renewer.term.next();
     renewer.challenge = {};
-    renewer.confirmedDigest = 0;
+    renewer.confirmedDigest.reset();
     renewer.unanswered = 0;
     renewer.sentAt.reset();
     renewer.dueAt = now;
@@ -63,14 +63,17 @@
 
 namespace {
 
-Millis backoff(unsigned lostTerms) { return std::min(kTermBackoffGreatest, kTermBackoff * (1 << std::min(lostTerms, 6u))); }
+Millis backoff(unsigned lostTerms)
+{
+    return std::min(kTermBackoffGreatest, kTermBackoff * (1 << std::min(lostTerms, 6u)));
+}
 
 RenewerChange onDisplaced(Renewer& renewer, const RenewalReply& reply, Millis now)
 {
     const bool was = renewer.established;
     renewer.established = false;
     renewer.challenge = {};
-    renewer.confirmedDigest = 0;
+    renewer.confirmedDigest.reset();
     renewer.term = reply.term.next();
     renewer.dueAt = now + backoff(renewer.lostTerms++);
     return was ? RenewerChange::displaced : RenewerChange::none;
@@ -92,7 +95,7 @@
     renewer.challengeReceivedAt = now;
     renewer.busy = reply.busy;
     if (reply.verdict != RenewalVerdict::accepted) {
-        renewer.confirmedDigest = 0;
+        renewer.confirmedDigest.reset();
         renewer.dueAt = now;
         return RenewerChange::none;
     }
@@ -112,7 +115,7 @@
     const Millis sentAt = *renewer.sentAt;
     renewer.sentAt.reset();
     renewer.challenge = {}; // the upstream may have issued another
-    renewer.confirmedDigest = 0; // and may have restarted
+    renewer.confirmedDigest.reset(); // and may have restarted
     ++renewer.unanswered;
     const Millis pause = looksLost(renewer) ? timing.interval : timing.interval / 4;
     renewer.dueAt = std::max(now, sentAt + pause);
--- a/src/ownership/renewer.h
+++ b/src/ownership/renewer.h
@@ -19,7 +19,7 @@
 constexpr unsigned kUnansweredUntilLost = 2;
 // Two coordinators that each take themselves for the right one back off from one another by doubling this.
 constexpr Millis kTermBackoff { 250 };
-constexpr Millis kTermBackoffGreatest { 8000 };
+constexpr Millis kTermBackoffGreatest { 1000 };
 // Allowance for the difference between two hosts' clock rates over one TTL.
 constexpr Millis kClockRateMargin { 50 };
 
@@ -37,7 +37,7 @@
     unsigned lostTerms = 0; // times in a row that another coordinator had a higher term
     std::vector<SlotGrant> wanted; // slots to grant, sorted
     std::uint64_t wantedDigest = 0;
-    std::uint64_t confirmedDigest = 0; // set that the upstream has accepted
+    std::optional<std::uint64_t> confirmedDigest; // of the set that the upstream has accepted; nothing while unknown
     bool established = false; // the upstream obeys this term
     std::vector<SlotId> busy; // still running there though no longer granted
 };
--- a/src/ownership/table.cpp
+++ b/src/ownership/table.cpp
@@ -112,8 +112,8 @@
 
 } // namespace
 
-std::string encodePage(const OwnershipTable& table, const ServiceName& service, std::uint32_t page,
-    const std::vector<SlotChange>& changes)
+std::string encodePage(
+    const OwnershipTable& table, const ServiceName& service, std::uint32_t page, const std::vector<SlotChange>& changes)
 {
     const auto it = table.services.find(service);
     const std::size_t first = std::size_t(page) * kPageSlots;
@@ -137,9 +137,10 @@
 
 std::string encodeUpstream(const UpstreamRecord& record)
 {
-    return Json { { "state", record.state == UpstreamState::lost ? "lost" : "serving" },
-        { "fence", record.fence.value }, { "renewers", record.renewers } }
-        .dump();
+    return Json {
+        { "state", record.state == UpstreamState::lost ? "lost" : "serving" }, { "fence", record.fence.value },
+        { "renewers", record.renewers }
+    }.dump();
 }
 
 std::optional<UpstreamRecord> decodeUpstream(const std::string& text)
--- a/src/ownership/table.h
+++ b/src/ownership/table.h
@@ -76,6 +76,11 @@
 struct SlotChange {
     SlotId slot;
     SlotRecord record;
+
+    friend bool operator==(const SlotChange& a, const SlotChange& b)
+    {
+        return a.slot == b.slot && a.record == b.record;
+    }
 };
 
 // The slot of a key within a service of so many slots.
--- a/src/peers/codec.h
+++ b/src/peers/codec.h
@@ -8,7 +8,10 @@
 // place of objects keep frames small.
 namespace pistachiospur {
 
-template <typename Tag, typename Number> void to_json(nlohmann::json& j, const Strong<Tag, Number>& it) { j = it.value; }
+template <typename Tag, typename Number> void to_json(nlohmann::json& j, const Strong<Tag, Number>& it)
+{
+    j = it.value;
+}
 template <typename Tag, typename Number> void from_json(const nlohmann::json& j, Strong<Tag, Number>& it)
 {
     it.value = j.get<Number>();
@@ -32,7 +35,10 @@
 
 template <> struct adl_serializer<pistachiospur::Millis> {
     static void to_json(json& j, const pistachiospur::Millis& it) { j = it.count(); }
-    static void from_json(const json& j, pistachiospur::Millis& it) { it = pistachiospur::Millis(j.get<std::int64_t>()); }
+    static void from_json(const json& j, pistachiospur::Millis& it)
+    {
+        it = pistachiospur::Millis(j.get<std::int64_t>());
+    }
 };
 
 template <typename T> struct adl_serializer<std::optional<T>> {
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -75,8 +75,7 @@
     if (out != m_outgoing.end() && out->second.link && out->second.link->isOpen())
         best = out->second.link;
     const auto in = m_incoming.find(host);
-    if (in != m_incoming.end() && in->second->isOpen()
-        && (!best || best->lastReceived() < in->second->lastReceived()))
+    if (in != m_incoming.end() && in->second->isOpen() && (!best || best->lastReceived() < in->second->lastReceived()))
         best = in->second;
     return best;
 }
--- a/src/peers/link.cpp
+++ b/src/peers/link.cpp
@@ -18,11 +18,13 @@
 constexpr std::size_t kGreatestFrame = 80u << 20;
 
 struct QuietClient : websocketpp::config::core_client {
-    static const std::size_t max_message_size = kGreatestFrame;
+    static const std::size_t max_message_size
+        = kGreatestFrame; // NOLINT(readability-identifier-naming): the library's name
 };
 
 struct QuietServer : websocketpp::config::core {
-    static const std::size_t max_message_size = kGreatestFrame;
+    static const std::size_t max_message_size
+        = kGreatestFrame; // NOLINT(readability-identifier-naming): the library's name
 };
 
 template <typename EndpointType> EndpointType& sharedEndpoint()
@@ -78,21 +80,22 @@
             m_failure.once(Millis(0));
             return;
         }
-        m_connection->set_write_handler([this](websocketpp::connection_hdl, const char* data, std::size_t n) {
+        m_connection->set_write_handler([this](const websocketpp::connection_hdl&, const char* data, std::size_t n) {
             m_out.append(data, n);
             flush();
             return websocketpp::lib::error_code();
         });
-        m_connection->set_open_handler([this](websocketpp::connection_hdl) {
+        m_connection->set_open_handler([this](const websocketpp::connection_hdl&) {
             m_open = true;
             m_handlers.onOpen(*this);
         });
-        m_connection->set_message_handler([this](websocketpp::connection_hdl, typename Role::message_ptr message) {
-            m_lastUsed = monotonicNow();
-            m_handlers.onFrame(*this, message->get_payload());
-        });
-        m_connection->set_close_handler([this](websocketpp::connection_hdl) { m_failure.once(Millis(0)); });
-        m_connection->set_fail_handler([this](websocketpp::connection_hdl) { m_failure.once(Millis(0)); });
+        m_connection->set_message_handler(
+            [this](const websocketpp::connection_hdl&, const typename Role::message_ptr& message) {
+                m_lastUsed = monotonicNow();
+                m_handlers.onFrame(*this, message->get_payload());
+            });
+        m_connection->set_close_handler([this](const websocketpp::connection_hdl&) { m_failure.once(Millis(0)); });
+        m_connection->set_fail_handler([this](const websocketpp::connection_hdl&) { m_failure.once(Millis(0)); });
         if (!m_connecting)
             m_connection->start();
         watch();
@@ -142,7 +145,7 @@
 private:
     void silence()
     {
-        m_connection->set_write_handler([](websocketpp::connection_hdl, const char*, std::size_t) {
+        m_connection->set_write_handler([](const websocketpp::connection_hdl&, const char*, std::size_t) {
             return websocketpp::lib::error_code();
         });
         m_connection->set_open_handler(nullptr);
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -6,8 +6,14 @@
 
 // One pair of conversions for a struct whose members travel in the order given.
 #define PISTACHIOSPUR_WIRE(Type, ...)                                                                                  \
-    static void to_json(Json& j, const Type& it) { j = std::apply([](const auto&... m) { return pack(m...); }, __VA_ARGS__); } \
-    static void from_json(const Json& j, Type& it) { std::apply([&j](auto&... m) { unpack(j, m...); }, __VA_ARGS__); }
+    static void to_json(Json& j, const Type& it)                                                                       \
+    {                                                                                                                  \
+        j = std::apply([](const auto&... m) { return pack(m...); }, __VA_ARGS__);                                      \
+    }                                                                                                                  \
+    static void from_json(const Json& j, Type& it)                                                                     \
+    {                                                                                                                  \
+        std::apply([&j](auto&... m) { unpack(j, m...); }, __VA_ARGS__);                                                \
+    }
 
 PISTACHIOSPUR_WIRE(Rumour, std::tie(it.host, it.incarnation, it.state))
 PISTACHIOSPUR_WIRE(Suspicion, std::tie(it.fingerprint, it.breakId))
@@ -68,8 +74,7 @@
 }
 
 PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation))
-PISTACHIOSPUR_WIRE(
-    Heartbeat, std::tie(it.incarnation, it.leaving, it.isReply, it.revision, it.rumours, it.suspicions))
+PISTACHIOSPUR_WIRE(Heartbeat, std::tie(it.incarnation, it.leaving, it.isReply, it.revision, it.rumours, it.suspicions))
 PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since))
 PISTACHIOSPUR_WIRE(ReplicaBatch, std::tie(it.batch))
 PISTACHIOSPUR_WIRE(ReplicaSnapshot, std::tie(it.snapshot))
--- a/src/platform/store.cpp
+++ b/src/platform/store.cpp
@@ -93,7 +93,8 @@
     if (kvs == answer.end())
         return snapshot;
     for (const auto& it : *kvs)
-        snapshot.values[decode(it, "key").substr(prefix.size())] = { decode(it, "value"), revisionIn(it, "mod_revision") };
+        snapshot.values[decode(it, "key").substr(prefix.size())]
+            = { decode(it, "value"), revisionIn(it, "mod_revision") };
     return snapshot;
 }
 
--- a/src/platform/upstream.cpp
+++ b/src/platform/upstream.cpp
@@ -47,7 +47,8 @@
         renewal.hasSlots = object.contains("slots");
         if (renewal.hasSlots) {
             for (const auto& it : object["slots"])
-                renewal.slots.push_back({ SlotId { it.at(0).get<std::uint32_t>() }, Epoch { it.at(1).get<std::uint64_t>() } });
+                renewal.slots.push_back(
+                    { SlotId { it.at(0).get<std::uint32_t>() }, Epoch { it.at(1).get<std::uint64_t>() } });
         }
         return renewal;
     } catch (const Json::exception&) {
@@ -60,9 +61,10 @@
     Json busy = Json::array();
     for (const auto& it : reply.busy)
         busy.push_back(it.value);
-    return Json { { "verdict", kVerdicts[static_cast<int>(reply.verdict)] }, { "term", reply.term.value },
-        { "challenge", reply.challenge.value }, { "busy", busy } }
-        .dump();
+    return Json {
+        { "verdict", kVerdicts[static_cast<int>(reply.verdict)] }, { "term", reply.term.value },
+        { "challenge", reply.challenge.value }, { "busy", busy }
+    }.dump();
 }
 
 std::optional<RenewalReply> decodeRenewalReply(const std::string& text)
--- a/src/requests/admit.cpp
+++ b/src/requests/admit.cpp
@@ -22,12 +22,11 @@
         && name.compare(0, 14, "pistachiospur-") != 0;
 }
 
-
 // Takes the next path segment off `rest`, which begins with a slash.
 std::string takeSegment(std::string& rest)
 {
     const auto end = rest.find_first_of("/?", 1);
-    const std::string segment = rest.substr(1, end == std::string::npos ? end : end - 1);
+    std::string segment = rest.substr(1, end == std::string::npos ? end : end - 1);
     rest = end == std::string::npos ? "" : rest.substr(end);
     return segment;
 }
@@ -52,7 +51,8 @@
     const std::string text = headerOf(caller, "request-timeout");
     if (text.empty())
         return policy.defaultDeadline;
-    const bool digits = text.size() <= 9 && std::all_of(text.begin(), text.end(), [](unsigned char n) { return std::isdigit(n); });
+    const bool digits
+        = text.size() <= 9 && std::all_of(text.begin(), text.end(), [](unsigned char n) { return std::isdigit(n); });
     if (!digits || std::stoll(text) > kGreatestDeadlineMs)
         return std::nullopt;
     return Millis(std::stoll(text));
--- a/src/requests/retry.cpp
+++ b/src/requests/retry.cpp
@@ -4,7 +4,10 @@
 
 namespace pistachiospur {
 
-void earnRetry(RetryBudget& budget) { budget.tokens = std::min(kRetryBudgetGreatest, budget.tokens + kRetryBudgetShare); }
+void earnRetry(RetryBudget& budget)
+{
+    budget.tokens = std::min(kRetryBudgetGreatest, budget.tokens + kRetryBudgetShare);
+}
 
 namespace {
 
--- a/standins/demo.cpp
+++ b/standins/demo.cpp
@@ -36,10 +36,9 @@
     for (const char* name : { "atelier-04", "checkout-01", "checkout-02" })
         site.startUpstream(name, "montreal");
     std::string out;
-    const bool published
-        = site.publish({ { "atelier", { "atelier-01", "atelier-02", "atelier-03", "atelier-04" } },
-                           { "checkout", { "checkout-01", "checkout-02" } } },
-            out);
+    const bool published = site.publish({ { "atelier", { "atelier-01", "atelier-02", "atelier-03", "atelier-04" } },
+                                            { "checkout", { "checkout-01", "checkout-02" } } },
+        out);
     std::cout << out;
     return published && site.waitFor([&] { return site.isSettled(); }, kStartLimit);
 }
@@ -49,8 +48,11 @@
     int answered = 0;
     for (int n = 0; n < kKeys; ++n) {
         answered += site.request(host, "GET", "/atelier/" + keyName(n) + "/preview").status == 200;
-        answered += site.request(host, "POST", "/atelier/" + keyName(n) + "/order", "demo-order-" + keyName(n)).status == 200;
-        answered += site.request(host, "POST", "/checkout/" + keyName(n) + "/booking", "demo-booking-" + keyName(n)).status == 200;
+        answered += site.request(host, "POST", "/atelier/" + keyName(n) + "/order", "demo-order-" + keyName(n)).status
+            == 200;
+        answered
+            += site.request(host, "POST", "/checkout/" + keyName(n) + "/booking", "demo-booking-" + keyName(n)).status
+            == 200;
     }
     std::cout << answered << " of " << 3 * kKeys << " requests of three ranks answered through " << host.name << "\n";
     return answered;
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -26,7 +26,7 @@
 Endpoint freeEndpoint()
 {
     const int fd = listenOn(kAnyPort);
-    const Endpoint endpoint { kAnyPort.address, boundPort(fd) };
+    Endpoint endpoint { kAnyPort.address, boundPort(fd) };
     ::close(fd);
     return endpoint;
 }
@@ -59,6 +59,7 @@
     posix_spawn_file_actions_addopen(&actions, 2, logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, readsLine ? fds[1] : 2, 1);
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const auto& it : command)
         arguments.push_back(const_cast<char*>(it.c_str()));
     arguments.push_back(nullptr);
@@ -123,8 +124,8 @@
 
 void Site::startStore()
 {
-    m_store = std::make_unique<Process>(
-        std::vector<std::string> { m_build + "/standin-store" }, path("store.log"), true);
+    m_store
+        = std::make_unique<Process>(std::vector<std::string> { m_build + "/standin-store" }, path("store.log"), true);
     m_storeEndpoint = { kAnyPort.address, static_cast<std::uint16_t>(std::stoi(m_store->firstLine())) };
 }
 
@@ -272,7 +273,8 @@
             { { "method", "POST" }, { "path", "/order" }, { "rank", "standard" } },
             { { "method", "POST" }, { "path", "/" }, { "rank", "urgent" } } };
         objects.push_back({ { "kind", "service" }, { "name", service }, { "slots", 512 }, { "routes", routes } });
-        objects.push_back({ { "kind", "placement" }, { "name", service }, { "service", service }, { "upstreams", upstreams } });
+        objects.push_back(
+            { { "kind", "placement" }, { "name", service }, { "service", service }, { "upstreams", upstreams } });
         for (const auto& it : upstreams) {
             const SiteUpstream& upstream = m_upstreams.at(it);
             objects.push_back({ { "kind", "upstream" }, { "name", it }, { "data_centre", upstream.dataCentre },
@@ -309,8 +311,9 @@
             slots[it["upstream"]] = it["slots"];
         }
     }
-    return !coordinated.empty()
-        && std::all_of(coordinated.begin(), coordinated.end(), [&](const auto& it) { return it.second && slots[it.first]; });
+    return !coordinated.empty() && std::all_of(coordinated.begin(), coordinated.end(), [&](const auto& it) {
+        return it.second && slots[it.first];
+    });
 }
 
 std::vector<Json> Site::journal() const
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -40,7 +40,8 @@
     Responder responder;
 };
 
-// Modes of failure: answers as usual, refuses everything, never answers, answers late, or writes and then never answers.
+// Modes of failure: answers as usual, refuses everything, never answers, answers late, or writes and then never
+// answers.
 enum class Mode { up, down, silent, slow, loseAnswers };
 constexpr const char* kModes[] = { "up", "down", "silent", "slow", "lose-answers" };
 
@@ -124,7 +125,7 @@
             return range(body);
         if (path == "/v3/kv/put" || path == "/v3/kv/deleterange") {
             ++m_revision;
-            const Json answer = path == "/v3/kv/put" ? put(body) : deleteRange(body);
+            Json answer = path == "/v3/kv/put" ? put(body) : deleteRange(body);
             publish();
             return answer;
         }
@@ -203,7 +204,10 @@
             order = value.created - number(compare, "create_revision");
         else
             order = value.version - number(compare, "version");
-        return result == "EQUAL" ? order == 0 : result == "NOT_EQUAL" ? order != 0 : result == "GREATER" ? order > 0 : order < 0;
+        return result == "EQUAL"    ? order == 0
+            : result == "NOT_EQUAL" ? order != 0
+            : result == "GREATER"   ? order > 0
+                                    : order < 0;
     }
 
     Json txn(const Json& body)
@@ -338,7 +342,7 @@
         responder.respond({ 200, {},
             Json { { "mode", kModes[static_cast<int>(m_mode)] }, { "calls", m_calls }, { "watches", m_watches.size() },
                 { "revision", m_revision } }
-                .dump()
+                    .dump()
                 + "\n" });
     }
 
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -1,7 +1,7 @@
 // A stand-in for a server that owns keys: it obeys grants, runs at most `slots` requests at once, each for a while, and
 // writes a journal of what it ran under which epoch. An effect counts only if the grant still holds when the run ends.
-#include "io/http_server.h"
 #include "platform/upstream.h"
+#include "io/http_server.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -112,9 +112,9 @@
         if (owned) {
             const Json body = { { "ran_by", absl::GetFlag(FLAGS_name) }, { "slot", run->slot.slot.value },
                 { "epoch", run->slot.epoch.value }, { "target", run->request.target }, { "echo", run->request.body } };
-            run->responder.respond({ 200,
-                { { "Content-Type", "application/json" }, { "ran-by", absl::GetFlag(FLAGS_name) } },
-                body.dump(-1, ' ', false, Json::error_handler_t::replace) });
+            run->responder.respond(
+                { 200, { { "Content-Type", "application/json" }, { "ran-by", absl::GetFlag(FLAGS_name) } },
+                    body.dump(-1, ' ', false, Json::error_handler_t::replace) });
         } else {
             run->responder.respond({ 421, { { kRanHeader, "no" } }, "" });
         }
@@ -142,9 +142,9 @@
             m_silent = body.value("silent", m_silent);
         }
         responder.respond({ 200, {},
-            Json { { "name", absl::GetFlag(FLAGS_name) }, { "running", m_runs.size() }, { "slots", m_grant.slots.size() },
-                { "term", m_grant.term.value }, { "counts", m_counts } }
-                .dump()
+            Json { { "name", absl::GetFlag(FLAGS_name) }, { "running", m_runs.size() },
+                { "slots", m_grant.slots.size() }, { "term", m_grant.term.value }, { "counts", m_counts } }
+                    .dump()
                 + "\n" });
     }
 
