Requests: lower ranks keep their whole share; unit tests for every filter

Cause: a rank earned credit only on other ranks' starts, so a share of 0.1 gave 0.0899 of the starts (test lowerRankKeepsItsShareUnderAFloodOfTheMostUrgent, failing before); and a newcomer's wait was judged as if every more urgent request went first, so in a highest-rank flood the lowest rank was refused at the door though its share lay unused. Ruled out: a different order of starts; the baselines without shares starve it. Change: credit on every start; the wait is the shorter of strict order and the share; runs and waits are judged with margins, so fewer starts end too late.

--- a/src/requests/queue.cpp
+++ b/src/requests/queue.cpp
@@ -1,6 +1,7 @@
 #include "queue.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace pistachiospur {
 
@@ -60,21 +61,50 @@
     for (auto& [order, lane] : queue.lanes) {
         if (lane.waiting.empty())
             lane.credit = 0;
-        else if (&lane != &started)
+        else
             lane.credit = std::min(kGreatestCredit, lane.credit + shareOf(policy, order));
     }
 }
 
 } // namespace
 
-Millis expectedWait(const UpstreamQueue& queue, const QueuePolicy& policy, RankOrder order)
+namespace {
+
+// The wait if everything as urgent or more urgent goes first.
+double waitBehindUrgent(const UpstreamQueue& queue, const QueuePolicy& policy, RankOrder order)
 {
     double ms = 0;
     for (const auto& [laneOrder, lane] : queue.lanes) {
         if (laneOrder <= order)
             ms += static_cast<double>(lane.waiting.size()) * lane.serviceMs;
     }
-    return Millis(static_cast<std::int64_t>(ms / policy.slots));
+    return ms / policy.slots;
+}
+
+// The wait if the rank gets no more than its share of the starts.
+double waitWithinShare(const UpstreamQueue& queue, const QueuePolicy& policy, RankOrder order)
+{
+    const double share = shareOf(policy, order);
+    const auto own = queue.lanes.find(order);
+    if (share <= 0 || own == queue.lanes.end())
+        return std::numeric_limits<double>::infinity();
+    double ms = 0, lanes = 0;
+    for (const auto& [laneOrder, lane] : queue.lanes) {
+        if (lane.serviceMs > 0) {
+            ms += lane.serviceMs;
+            ++lanes;
+        }
+    }
+    const double meanRun = lanes > 0 ? ms / lanes : 0;
+    return static_cast<double>(own->second.waiting.size() + 1) * meanRun / (policy.slots * share);
+}
+
+} // namespace
+
+Millis expectedWait(const UpstreamQueue& queue, const QueuePolicy& policy, RankOrder order)
+{
+    const double ms = std::min(waitBehindUrgent(queue, policy, order), waitWithinShare(queue, policy, order));
+    return Millis(static_cast<std::int64_t>(ms));
 }
 
 std::optional<RefusalReason> enqueue(
@@ -85,10 +115,11 @@
     RankLane& lane = queue.lanes[request.order];
     if (lane.waiting.size() >= policy.perRank)
         return RefusalReason::queueFull;
-    const Millis run(static_cast<std::int64_t>(lane.serviceMs));
+    const Millis run(static_cast<std::int64_t>(lane.serviceMs * kRunMargin));
     if (now + run >= request.deadline)
         return RefusalReason::deadlinePassed;
-    if (now + expectedWait(queue, policy, request.order) + run >= request.deadline)
+    const auto wait = expectedWait(queue, policy, request.order) * kWaitMarginTenths / 10;
+    if (now + wait + run >= request.deadline)
         return RefusalReason::queueFull;
     lane.waiting.push_back(request);
     return std::nullopt;
@@ -111,7 +142,7 @@
 {
     std::vector<WaitingRequest> late;
     for (auto& [order, lane] : queue.lanes) {
-        const Millis run(static_cast<std::int64_t>(lane.serviceMs));
+        const Millis run(static_cast<std::int64_t>(lane.serviceMs * kRunMargin));
         const auto isLate = [&](const WaitingRequest& it) { return now + run >= it.deadline; };
         std::copy_if(lane.waiting.begin(), lane.waiting.end(), std::back_inserter(late), isLate);
         lane.waiting.erase(std::remove_if(lane.waiting.begin(), lane.waiting.end(), isLate), lane.waiting.end());
--- a/src/requests/queue.h
+++ b/src/requests/queue.h
@@ -22,6 +22,10 @@
 // Weight of the newest sample in a rank's mean service time.
 constexpr double kServiceTimeWeight = 0.1;
 
+// Runs and waits are judged by their means times these: starting what then ends late would waste the slot.
+constexpr double kRunMargin = 2;
+constexpr int kWaitMarginTenths = 15;
+
 struct WaitingRequest {
     std::uint64_t id = 0;
     RankOrder order = 0;
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,154 @@
+#include "config/check.h"
+#include "config/publish.h"
+#include "config/settings.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace pistachiospur;
+
+namespace {
+
+const char* const kGood = R"({"objects":[
+  {"kind":"rank","name":"urgent","order":0,"target_ms":500},
+  {"kind":"service","name":"atelier","routes":[{"rank":"urgent"}]},
+  {"kind":"upstream","name":"a1","data_centre":"laval","endpoint":"10.0.0.1:80"},
+  {"kind":"placement","name":"p","service":"atelier","upstreams":["a1"]}]})";
+
+const char* const kGoodSettings = R"({"host":"h","data_centre":"laval","callers":"127.0.0.1:1","peers":"127.0.0.1:2",
+  "admin":"127.0.0.1:3","store":["127.0.0.1:4"],"host_list":"127.0.0.1:5"})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+// The faults of a configuration document, by name.
+std::vector<std::string> faultsOf(const std::string& text)
+{
+    std::vector<FieldError> errors;
+    const auto objects = readObjects(text, "file", errors);
+    if (errors.empty())
+        checkObjects(objects, errors);
+    std::vector<std::string> names;
+    for (const auto& it : errors) {
+        names.emplace_back(faultName(it.fault));
+        BOOST_TEST(!it.object.empty());
+        BOOST_TEST(!it.allowed.empty());
+    }
+    return names;
+}
+
+std::vector<std::string> settingsFaults(const std::string& text)
+{
+    namespace leaf = boost::leaf;
+    std::vector<std::string> names;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_CHECK(parseSettings(text, "file"));
+            return {};
+        },
+        [&](const DocumentError& error) {
+            for (const auto& it : error.faults)
+                names.emplace_back(faultName(it.fault));
+        },
+        [] { BOOST_ERROR("an error without a type"); });
+    return names;
+}
+
+using Names = std::vector<std::string>;
+
+Published published(const std::string& text)
+{
+    std::vector<FieldError> errors;
+    Published it;
+    it.objects = readObjects(text, "file", errors);
+    return it;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Config)
+
+BOOST_AUTO_TEST_CASE(goodDocumentIsAccepted) { BOOST_TEST(faultsOf(kGood).empty()); }
+
+BOOST_AUTO_TEST_CASE(eachKindOfFaultHasItsOwnType)
+{
+    BOOST_TEST(
+        faultsOf(replaced(kGood, R"("upstreams":["a1"])", R"("upstreams":["a9"])")) == Names { "unknown-reference" });
+    BOOST_TEST(
+        faultsOf(replaced(kGood, R"({"rank":"urgent"})", R"({"rank":"none"})")) == Names { "unknown-reference" });
+    BOOST_TEST(faultsOf(replaced(kGood, R"("name":"p")", R"("name":"p","extra":1)")) == Names { "unknown-field" });
+    BOOST_TEST(faultsOf(replaced(kGood, R"("order":0)", R"("order":"0")")) == Names { "wrong-type" });
+    BOOST_TEST(faultsOf(replaced(kGood, R"("order":0)", R"("order":99)")) == Names { "out-of-range" });
+    BOOST_TEST(faultsOf(replaced(kGood, R"("order":0,)", "")) == Names { "missing-field" });
+    BOOST_TEST(faultsOf(replaced(kGood, "10.0.0.1:80", "example:80")) == Names { "out-of-range" });
+    BOOST_TEST(faultsOf(std::string(kGood).substr(0, 100)) == Names { "malformed-json" });
+    BOOST_TEST(faultsOf("") == Names { "malformed-json" });
+    BOOST_TEST(faultsOf("[]") == Names({ "wrong-type" }));
+    const std::string twice = R"({"kind":"rank","name":"urgent","order":0,"target_ms":500},)";
+    BOOST_TEST(faultsOf(replaced(kGood, twice, twice + twice)) == Names { "duplicate-name" });
+}
+
+BOOST_AUTO_TEST_CASE(upstreamThatDoesNotCheckGrantsIsRefused)
+{
+    BOOST_TEST(faultsOf(replaced(kGood, R"("name":"a1")", R"("name":"a1","checks_epochs":false)"))
+        == Names { "out-of-range" });
+}
+
+BOOST_AUTO_TEST_CASE(settingsFaultsAreTyped)
+{
+    BOOST_TEST(settingsFaults(kGoodSettings).empty());
+    BOOST_TEST(settingsFaults(replaced(kGoodSettings, "127.0.0.1:2", "127.0.0.1:1")) == Names { "port-clash" });
+    BOOST_TEST(settingsFaults(replaced(kGoodSettings, R"("host":"h")", R"("host":7)")) == Names { "wrong-type" });
+    BOOST_TEST(settingsFaults(replaced(kGoodSettings, R"("host":"h")", R"("host":"h","hots":1)"))
+        == Names { "unknown-field" });
+    const std::string withLimit = R"("host":"h","limits":{"grant_ttl_ms":)";
+    BOOST_TEST(settingsFaults(replaced(kGoodSettings, R"("host":"h")", withLimit + "5}"))
+        == Names({ "out-of-range", "conflict" }));
+    BOOST_TEST(settingsFaults(std::string(kGoodSettings).substr(0, 40)) == Names { "malformed-json" });
+}
+
+BOOST_AUTO_TEST_CASE(everyLimitsDefaultIsWithinItsBounds)
+{
+    for (const auto& it : limitOptions())
+        BOOST_TEST((it.least <= it.fallback && it.fallback <= it.greatest), it.name);
+}
+
+BOOST_AUTO_TEST_CASE(digestDoesNotDependOnOrderAndFollowsEachObject)
+{
+    const auto objects = published(kGood).objects;
+    std::uint64_t digest = digestOf(objects);
+    auto it = objects.begin();
+    digest ^= digestOf(it->first, it->second);
+    ObjectSet fewer = objects;
+    fewer.erase(it->first);
+    BOOST_TEST(digest == digestOf(fewer));
+}
+
+BOOST_AUTO_TEST_CASE(changeThatBreaksAReferenceIsNotPublished)
+{
+    const Published base = published(kGood);
+    std::vector<FieldError> errors;
+    BOOST_TEST(!publication(base, { { { "rank", "urgent" }, nullptr } }, "c1", Millis(0), errors).has_value());
+    BOOST_REQUIRE(!errors.empty());
+    BOOST_CHECK(errors[0].fault == FieldFault::unknownReference);
+}
+
+BOOST_AUTO_TEST_CASE(publicationNamesTheHeadItIsBasedOn)
+{
+    Published base = published(kGood);
+    base.head.revision = Revision { 7 };
+    base.head.version = StoreRevision { 42 };
+    std::vector<FieldError> errors;
+    const auto write = publication(
+        base, { { { "upstream", "a1" }, base.objects.at({ "upstream", "a1" }) } }, "c1", Millis(0), errors);
+    BOOST_REQUIRE(write);
+    BOOST_REQUIRE_EQUAL(write->expected.size(), 1u);
+    BOOST_TEST(write->expected[0].key == "live/config/head");
+    BOOST_TEST(write->expected[0].version.value == 42u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/requests_test.cpp
@@ -0,0 +1,300 @@
+#include "requests/admit.h"
+#include "requests/idempotency.h"
+#include "requests/quarantine.h"
+#include "requests/queue.h"
+#include "requests/retry.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <random>
+#include <set>
+
+using namespace pistachiospur;
+
+namespace {
+
+const MemoryPolicy kMemory { Millis(60000), Millis(1000), 100 };
+
+Configuration smallConfiguration()
+{
+    Configuration it;
+    it.ranks["urgent"] = { "urgent", 0, Millis(500), 0.999, 0.1 };
+    it.ranks["preview"] = { "preview", 2, Millis(300), 0.95, 0.1 };
+    it.services["atelier"]
+        = { "atelier", ServiceMode::keyed, 64, { { "GET", "/", "preview", true }, { "POST", "/", "urgent", false } } };
+    it.services["push"] = { "push", ServiceMode::pooled, 64, { { "POST", "/", "urgent", false } } };
+    return it;
+}
+
+Admitted admitted(CallerRequest caller)
+{
+    return admit(smallConfiguration(), { Millis(1000) }, std::move(caller), Millis(5));
+}
+
+RefusalReason reasonOf(const Admitted& it) { return std::get<Refusal>(it).reason; }
+
+QueuePolicy threeRanks() { return { 2, 50, { { 0, 0.1 }, { 1, 0.1 }, { 2, 0.1 } } }; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Requests)
+
+BOOST_AUTO_TEST_CASE(admissionFindsServiceKeyRankAndDeadline)
+{
+    const auto it = admitted({ "POST", "/atelier/job%2F7/order?x=1",
+        { { "idempotency-key", "k" }, { "idempotency-key-time", "77" }, { "connection", "close" } }, "body", false });
+    const auto& request = std::get<Request>(it);
+    BOOST_TEST(request.key == "job%2F7");
+    BOOST_TEST(request.rank == "urgent");
+    BOOST_TEST(!request.idempotent);
+    BOOST_TEST(request.target == "/atelier/job%2F7/order?x=1");
+    BOOST_TEST(request.deadline.count() == 1005);
+    BOOST_TEST(request.headers.count("connection") == 0u);
+    BOOST_TEST(request.idempotencyKey->sentAt.count() == 77);
+}
+
+BOOST_AUTO_TEST_CASE(badInputIsRefusedWithItsOwnReasonAndProvablyNotRun)
+{
+    const std::vector<std::pair<CallerRequest, RefusalReason>> cases = {
+        { { "GET", "/nothing/k", {}, "", false }, RefusalReason::unknownService },
+        { { "DELETE", "/atelier/k", {}, "", false }, RefusalReason::noRoute },
+        { { "GET", "/atelier", {}, "", false }, RefusalReason::malformed },
+        { { "GET", "/atelier/", {}, "", false }, RefusalReason::malformed },
+        { { "GET", "", {}, "", false }, RefusalReason::malformed },
+        { { "GET", "/atelier/k", {}, "", true }, RefusalReason::tooLarge },
+        { { "POST", "/atelier/k", {}, "", false }, RefusalReason::idempotencyKeyNeeded },
+        { { "POST", "/atelier/k", { { "idempotency-key", "no-time" } }, "", false },
+            RefusalReason::idempotencyKeyNeeded },
+        { { "GET", "/atelier/k", { { "request-timeout", "soon" } }, "", false }, RefusalReason::malformed },
+        { { "GET", "/atelier/k", { { "request-timeout", "0" } }, "", false }, RefusalReason::deadlinePassed },
+    };
+    for (const auto& [caller, reason] : cases) {
+        const auto it = admitted(caller);
+        BOOST_REQUIRE(std::holds_alternative<Refusal>(it));
+        BOOST_CHECK(reasonOf(it) == reason);
+        BOOST_CHECK(std::get<Refusal>(it).ran == Ran::no);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(pooledResendsMeetTheSameSlot)
+{
+    const CallerRequest caller { "POST", "/push/send", { { "idempotency-key", "k1" }, { "idempotency-key-time", "7" } },
+        "b", false };
+    const auto first = std::get<Request>(admit(smallConfiguration(), { Millis(9) }, caller, Millis(1)));
+    const auto second = std::get<Request>(admit(smallConfiguration(), { Millis(9) }, caller, Millis(999)));
+    BOOST_CHECK(first.slot == second.slot);
+}
+
+BOOST_AUTO_TEST_CASE(uuid7CarriesItsOwnTime)
+{
+    const auto key = parseIdempotencyKey("018f0000-0001-7abc-8def-0123456789ab", "");
+    BOOST_REQUIRE(key);
+    BOOST_TEST(key->sentAt.count() == 0x018f00000001);
+    BOOST_TEST(!parseIdempotencyKey("018f0000-0001-4abc-8def-0123456789ab", "").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(resendGetsTheRecordedAnswer)
+{
+    IdempotencyMemory memory;
+    const IdempotencyKey key { "k", Millis(100000) };
+    BOOST_CHECK(beginOnce(memory, kMemory, key, 1, Millis(0), Millis(100001)).verdict == MemoryVerdict::run);
+    BOOST_CHECK(beginOnce(memory, kMemory, key, 1, Millis(0), Millis(100002)).verdict == MemoryVerdict::inProgress);
+    endOnce(memory, "k", Answer { 201, {}, "done" });
+    const auto again = beginOnce(memory, kMemory, key, 1, Millis(0), Millis(100003));
+    BOOST_CHECK(again.verdict == MemoryVerdict::replay);
+    BOOST_TEST(std::get<Answer>(again.reply).body == "done");
+    BOOST_CHECK(beginOnce(memory, kMemory, key, 2, Millis(0), Millis(100004)).verdict == MemoryVerdict::reused);
+}
+
+BOOST_AUTO_TEST_CASE(refusalThatProvesNotRunLetsAResendRun)
+{
+    IdempotencyMemory memory;
+    const IdempotencyKey key { "k", Millis(100000) };
+    beginOnce(memory, kMemory, key, 1, Millis(0), Millis(100001));
+    endOnce(memory, "k", notRun(RefusalReason::upstreamUnreachable));
+    BOOST_CHECK(beginOnce(memory, kMemory, key, 1, Millis(0), Millis(100002)).verdict == MemoryVerdict::run);
+}
+
+BOOST_AUTO_TEST_CASE(youngMemoryNeverRunsAnOldKeyNorOneFromTheFuture)
+{
+    IdempotencyMemory memory;
+    const auto verdict = [&](std::int64_t sentAt, std::int64_t since) {
+        return beginOnce(
+            memory, kMemory, { "k" + std::to_string(sentAt), Millis(sentAt) }, 1, Millis(since), Millis(200000))
+            .verdict;
+    };
+    BOOST_CHECK(verdict(199000, 199500) == MemoryVerdict::tooYoung);
+    BOOST_CHECK(verdict(199600, 199500) == MemoryVerdict::tooYoung); // within the clocks' difference
+    BOOST_CHECK(verdict(199900, 198000) == MemoryVerdict::run);
+    BOOST_CHECK(verdict(201500, 198000) == MemoryVerdict::tooYoung);
+}
+
+// Random resends, outcomes and losses of the memory: no key ever runs twice.
+RC_BOOST_PROP(noKeyRunsTwiceUnderResendsAndLostMemories, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    const auto pick = [&](std::uint64_t n) { return static_cast<std::int64_t>(random() % n); };
+    IdempotencyMemory memory;
+    const MemoryPolicy policy { Millis(20000), Millis(1000), 5 };
+    Millis now(1000000), since = now - Millis(30000);
+    memory.completeSince = since;
+    std::vector<IdempotencyKey> keys;
+    std::map<std::string, int> runs; // that may have had an effect
+    std::vector<std::string> running;
+    for (int n = 0; n < 400; ++n) {
+        now += Millis(pick(300));
+        if (pick(3) == 0)
+            keys.push_back({ "k" + std::to_string(n), now + Millis(pick(1999) - 999) });
+        if (pick(60) == 0) { // another coordinator takes over, with an empty memory
+            memory = {};
+            memory.completeSince = since = now;
+            running.clear();
+        }
+        if (!keys.empty() && pick(2)) {
+            const auto& key = keys[static_cast<std::size_t>(pick(keys.size()))];
+            if (beginOnce(memory, policy, key, 1, since, now).verdict == MemoryVerdict::run) {
+                RC_ASSERT(++runs[key.text] == 1);
+                running.push_back(key.text);
+            }
+        }
+        if (!running.empty() && pick(2)) {
+            const std::string key = running.back();
+            running.pop_back();
+            const bool provablyNot = pick(4) == 0;
+            if (provablyNot)
+                --runs[key];
+            endOnce(memory, key,
+                provablyNot ? Reply(notRun(RefusalReason::upstreamShed))
+                            : Reply(maybeRun(RefusalReason::upstreamBroken)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(onlyWhatCannotRunTwiceIsTriedAgain)
+{
+    RetryBudget budget;
+    Request once, idempotent, keyed;
+    for (Request* it : { &once, &idempotent, &keyed })
+        it->deadline = Millis(10000);
+    idempotent.idempotent = true;
+    keyed.idempotencyKey = IdempotencyKey { "k", Millis(1) };
+    const auto tries = [&](const Request& request, const Refusal& refusal) {
+        RetryState state;
+        return decideRetry(budget, state, request, refusal, Millis(0)).has_value();
+    };
+    BOOST_TEST(tries(once, notRun(RefusalReason::noOwner)));
+    BOOST_TEST(!tries(once, maybeRun(RefusalReason::upstreamBroken)));
+    BOOST_TEST(tries(idempotent, maybeRun(RefusalReason::upstreamBroken)));
+    BOOST_TEST(!tries(keyed, maybeRun(RefusalReason::upstreamBroken)));
+    BOOST_TEST(tries(keyed, maybeRun(RefusalReason::hostLost)));
+    BOOST_TEST(!tries(idempotent, notRun(RefusalReason::queueFull)));
+}
+
+BOOST_AUTO_TEST_CASE(retriesThatMayRunAgainStayWithinTheirBudget)
+{
+    RetryBudget budget;
+    Request request;
+    request.idempotent = true;
+    request.deadline = Millis(10000);
+    int again = 0;
+    for (int n = 0; n < 1000; ++n) {
+        earnRetry(budget);
+        RetryState state;
+        again += decideRetry(budget, state, request, maybeRun(RefusalReason::upstreamBroken), Millis(0)).has_value();
+    }
+    BOOST_TEST(again <= kRetryBudgetGreatest + 1000 * kRetryBudgetShare);
+}
+
+BOOST_AUTO_TEST_CASE(requestIsQuarantinedAfterTwoBreaksAndNotByOneHeardTwice)
+{
+    Quarantine quarantine;
+    BOOST_TEST(onBreak(quarantine, { 7, 1 }, Millis(0)));
+    BOOST_TEST(!onBreak(quarantine, { 7, 1 }, Millis(0)));
+    BOOST_TEST(!isQuarantined(quarantine, 7, Millis(0)));
+    BOOST_TEST(onBreak(quarantine, { 7, 2 }, Millis(0)));
+    BOOST_TEST(isQuarantined(quarantine, 7, Millis(0)));
+    onAnswered(quarantine, 7);
+    BOOST_TEST(isQuarantined(quarantine, 7, Millis(0)));
+    BOOST_TEST(!isQuarantined(quarantine, 7, kQuarantineLife));
+}
+
+BOOST_AUTO_TEST_CASE(bystanderOfABreakIsClearedByItsNextAnswer)
+{
+    Quarantine quarantine;
+    onBreak(quarantine, { 7, 1 }, Millis(0));
+    onAnswered(quarantine, 7);
+    onBreak(quarantine, { 7, 2 }, Millis(0));
+    BOOST_TEST(!isQuarantined(quarantine, 7, Millis(0)));
+}
+
+BOOST_AUTO_TEST_CASE(urgentRequestNeverWaitsBehindTwoOfTheLeastUrgent)
+{
+    UpstreamQueue queue;
+    const QueuePolicy policy = threeRanks();
+    BOOST_TEST(!enqueue(queue, policy, { 1, 0, Millis(9000) }, Millis(0)).has_value());
+    startNext(queue, policy, Millis(0));
+    finishRun(queue, 0, Millis(10));
+    for (std::uint64_t n = 2; n < 8; ++n)
+        enqueue(queue, policy, { n, 2, Millis(9000) }, Millis(20));
+    startNext(queue, policy, Millis(20));
+    BOOST_TEST(!startNext(queue, policy, Millis(20)).has_value());
+    enqueue(queue, policy, { 9, 0, Millis(9000) }, Millis(30));
+    const auto next = startNext(queue, policy, Millis(30));
+    BOOST_REQUIRE(next);
+    BOOST_TEST(next->id == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(lowerRankKeepsItsShareUnderAFloodOfTheMostUrgent)
+{
+    UpstreamQueue queue;
+    const QueuePolicy policy = threeRanks();
+    std::map<RankOrder, int> started;
+    std::uint64_t id = 0;
+    for (int n = 0; n < 1000; ++n) {
+        const Millis now(n * 10), deadline = now + Millis(100000);
+        for (const RankOrder order : { 0, 0, 1, 2 })
+            enqueue(queue, policy, { ++id, order, deadline }, now);
+        while (const auto next = startNext(queue, policy, now)) {
+            ++started[next->order];
+            finishRun(queue, next->order, Millis(5));
+            if (started[0] + started[1] + started[2] > n + 1)
+                break;
+        }
+    }
+    const double all = started[0] + started[1] + started[2];
+    const double share = policy.shares.at(1), rounding = 2;
+    BOOST_TEST(started[1] >= share * all - rounding);
+    BOOST_TEST(started[2] >= share * all - rounding);
+}
+
+RC_BOOST_PROP(queueKeepsItsInvariantsAndLosesNothing, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    const auto pick = [&](std::uint64_t n) { return static_cast<std::uint64_t>(random() % n); };
+    UpstreamQueue queue;
+    const QueuePolicy policy = threeRanks();
+    std::set<std::uint64_t> waiting;
+    std::vector<WaitingRequest> running;
+    Millis now(0);
+    for (std::uint64_t n = 1; n < 500; ++n) {
+        now += Millis(pick(20));
+        const WaitingRequest it { n, static_cast<RankOrder>(pick(3)), now + Millis(pick(3000)) };
+        if (!enqueue(queue, policy, it, now))
+            waiting.insert(n);
+        for (const auto& late : dropLate(queue, now))
+            RC_ASSERT(waiting.erase(late.id) == 1);
+        if (const auto next = startNext(queue, policy, now)) {
+            RC_ASSERT(waiting.erase(next->id) == 1);
+            running.push_back(*next);
+        }
+        if (!running.empty() && pick(2)) {
+            finishRun(queue, running.back().order, Millis(pick(50)));
+            running.pop_back();
+        }
+        RC_ASSERT(holdsInvariants(queue, policy));
+        RC_ASSERT(waitingCount(queue) == waiting.size());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
