Site tests: eleven failures on real processes; five faults they found are mended

Cause: the promises were shown on pure functions only. tests/site_test starts three hosts and three upstreams, breaks them, and reads the upstreams' journals.

Found, each failing before and passing after: - a booking ran twice (resendGetsTheRecordedAnswerThroughAnyHost): the memory was asked when a request came, before its host was established, with an age of zero. It is asked when the request would start. - a host restarted empty while the store is down was taken for the coordinator and coordinated nothing (hostRestartedEmptyDuringAStoreOutageRenewsNothing). Heartbeats now say whether a host may coordinate. - a request that crashed its server was reported as not sent: libcurl had sent it on a reused connection, tried again and been refused (requestThatCrashesServersIsQuarantined...). Ruled out: a JSON page read through a dangling temporary in the test itself (drainedUpstream...), and coordinators that were still changing when a test began; the fixture now waits until hosts see one another.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CXX ?= g++
 CXXFLAGS ?= -O2 -g1
 BUILD ?= build
-FLAGS := -std=c++17 -Wall -Wextra -Werror -MMD -MP -Iinclude -Isrc -DBOOST_TEST_DYN_LINK
+FLAGS := -std=c++17 -Wall -Wextra -Werror -MMD -MP -Iinclude -Isrc -I. -DBOOST_TEST_DYN_LINK
 LIBS := -lev -lmicrohttpd -lcurl -lprometheus-cpp-core -llog4cplus -lxxhash $(shell pkg-config --libs absl_flags absl_flags_parse absl_flags_usage absl_strings)
 PACKAGES := g++ make pkg-config clang-format clang-tidy libev-dev libwebsocketpp-dev prometheus-cpp-dev \
 	libcurl4-openssl-dev libmicrohttpd-dev libabsl-dev liblog4cplus-dev libboost1.81-dev libboost-test1.81-dev \
@@ -11,9 +11,10 @@
 LIB_SOURCES := $(filter-out src/daemon/main.cpp src/cli/%,$(wildcard src/*/*.cpp))
 CLI_SOURCES := $(wildcard src/cli/*.cpp)
 STANDIN_SOURCES := $(wildcard standins/*.cpp)
-TEST_SOURCES := $(wildcard tests/*.cpp)
+SITE_TEST := tests/site_test.cpp
+TEST_SOURCES := $(filter-out $(SITE_TEST),$(wildcard tests/*.cpp))
 BENCH_SOURCES := $(wildcard bench/*.cpp)
-ALL_SOURCES := $(LIB_SOURCES) src/daemon/main.cpp $(CLI_SOURCES) $(STANDIN_SOURCES) $(TEST_SOURCES) $(BENCH_SOURCES)
+ALL_SOURCES := $(LIB_SOURCES) src/daemon/main.cpp $(CLI_SOURCES) $(STANDIN_SOURCES) $(TEST_SOURCES) $(SITE_TEST) $(BENCH_SOURCES)
 ALL_HEADERS := $(wildcard include/*/*.h src/*/*.h standins/*.h tests/*.h bench/*.h)
 object = $(patsubst %.cpp,$(BUILD)/%.o,$(1))
 
@@ -52,6 +53,9 @@
 $(BUILD)/unit-tests: $(call object,$(TEST_SOURCES)) $(BUILD)/libpistachiospur.a
 	$(CXX) $^ $(LIBS) -lboost_unit_test_framework -lrapidcheck -o $@
 
+$(BUILD)/site-tests: $(call object,$(SITE_TEST) standins/site.cpp) $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -lboost_unit_test_framework -o $@
+
 $(BUILD)/capacity: $(call object,bench/capacity.cpp) $(BUILD)/libpistachiospur.a
 	$(CXX) $^ $(LIBS) -o $@
 
@@ -61,6 +65,30 @@
 demo: install build $(BUILD)/demo ## install what is missing, build, run a whole site on loopback and stop it
 	timeout 120 $(BUILD)/demo $(BUILD)
 
+FORMATTED := $(ALL_SOURCES) $(ALL_HEADERS)
+
+format: ## rewrite the sources in the house format
+	clang-format -i $(FORMATTED)
+
+lint: ## check format and lint; nothing is rewritten
+	clang-format --dry-run -Werror $(FORMATTED)
+	@printf '%s\n' $(ALL_SOURCES) | xargs -P 8 -n 1 sh -c 'clang-tidy --quiet $$0 -- $(FLAGS) 2>/dev/null || { echo "lint: $$0"; exit 255; }'
+
+test: $(BUILD)/unit-tests ## unit and property tests
+	timeout 300 $(BUILD)/unit-tests --log_level=message
+
+site: build $(BUILD)/site-tests ## whole sites of real processes under failure
+	scripts/site-tests $(BUILD)
+
+models: ## check the models, and that each weakened variant is caught
+	scripts/check-models $(BUILD)/models
+
+capacity: $(BUILD)/capacity ## measure the slopes of docs/CAPACITY.md again
+	$(BUILD)/capacity
+
+check: lint test models site ## all of the above, as CI does
+	@echo "check passed"
+
 clean: ## remove what was built
 	rm -rf $(BUILD)
 
--- a/include/pistachiospur/request.h
+++ b/include/pistachiospur/request.h
@@ -57,6 +57,7 @@
     upstreamDisowned,
     upstreamBroken,
     upstreamTimeout,
+    upstreamLost,
     quarantined,
     memoryTooYoung,
     inProgress,
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -2,6 +2,8 @@
 
 #include "config/fields.h"
 
+#include <algorithm>
+
 namespace pistachiospur {
 
 namespace {
@@ -109,11 +111,15 @@
                 { "fence", record.fence.value }, { "renewers", record.renewers }, { "slots", slots[name] },
                 { "coordinated_here", m_coordinators.coordinates(name) } });
     }
-    return jsonResponse({ { "host", members.self }, { "config_revision", m_node.view.head.revision.value },
-        { "config_digest", m_node.view.head.digest }, { "config_whole", isWhole(m_node.view) },
-        { "store_revision", m_node.replica.revision.value }, { "store_read", m_node.readFromStore },
-        { "pending", m_entry.pendingCount() }, { "jobs", m_coordinators.jobCount() }, { "hosts", hosts },
-        { "upstreams", upstreams } });
+    std::size_t moving = 0;
+    for (const auto& [name, table] : m_node.view.ownership.services)
+        moving += static_cast<std::size_t>(std::count_if(
+            table.slots.begin(), table.slots.end(), [](const SlotRecord& it) { return it.movingTo != kNoUpstream; }));
+    return jsonResponse({ { "host", members.self }, { "moving_slots", moving },
+        { "config_revision", m_node.view.head.revision.value }, { "config_digest", m_node.view.head.digest },
+        { "config_whole", isWhole(m_node.view) }, { "store_revision", m_node.replica.revision.value },
+        { "store_read", m_node.readFromStore }, { "pending", m_entry.pendingCount() },
+        { "jobs", m_coordinators.jobCount() }, { "hosts", hosts }, { "upstreams", upstreams } });
 }
 
 HttpResponse Admin::owner(const HttpRequest& request) const
--- a/src/daemon/coordinator.cpp
+++ b/src/daemon/coordinator.cpp
@@ -84,12 +84,12 @@
 
 bool Coordinators::isPreferred(const UpstreamRecord& record) const
 {
-    if (m_node.stopping)
+    if (m_node.stopping || !m_node.readFromStore)
         return false;
     for (const auto& it : record.renewers) {
         if (it == m_node.members.self)
             return true;
-        if (isAlive(m_node.members, it) && !isLeaving(m_node.members, it))
+        if (canCoordinate(m_node.members, it))
             return false;
     }
     return false;
@@ -107,7 +107,7 @@
     for (const auto& [name, rank] : m_node.view.configuration.ranks)
         runner->policy.shares[rank.order] = rank.share;
     runner->probing = record.state == UpstreamState::lost && isPreferred(record);
-    if (!m_node.readFromStore || !mayRenew(record, m_node.members.self, runner->promised) || !isPreferred(record)) {
+    if (!mayRenew(record, m_node.members.self, runner->promised) || !isPreferred(record)) {
         const bool was = runner->renewer.coordinating;
         stopCoordinating(runner->renewer);
         if (was)
@@ -151,6 +151,7 @@
             finish(*runner, it.id, notRun(RefusalReason::deadlinePassed));
         report(*runner, now);
         probe(*runner, now);
+        settleLost(*runner, now);
         pump(*runner);
     }
 }
@@ -258,6 +259,22 @@
     return { order.upstream, order.fence, grantRemaining(runner->renewer, now) };
 }
 
+// Once no grant of this host can be in force at a lost upstream, what it was running has no answer to wait for.
+void Coordinators::settleLost(Runner& runner, Millis now)
+{
+    if (!runner.probing || runner.jobs.empty() || grantRemaining(runner.renewer, now).count() > 0)
+        return;
+    std::vector<JobId> running;
+    for (const auto& [id, job] : runner.jobs) {
+        if (job.running)
+            running.push_back(id);
+    }
+    for (const auto id : running) {
+        m_node.http.cancel(runner.jobs.at(id).call);
+        finish(runner, id, maybeRun(RefusalReason::upstreamLost));
+    }
+}
+
 ReleaseReport Coordinators::reportRelease(const UpstreamName& name)
 {
     const Renewer& renewer = runnerOf(name).renewer;
@@ -283,14 +300,12 @@
         callback(notRun(RefusalReason::noOwner));
         return 0;
     }
-    if (auto known = remember(*runner, request)) {
-        callback(std::move(*known));
-        return 0;
-    }
     const JobId id = m_nextJob++;
     const WaitingRequest waiting { id, request.order, request.deadline };
     m_upstreamOf[id] = name;
-    runner->jobs[id] = { std::move(request), std::move(callback), false, {}, 0 };
+    Job& job = runner->jobs[id];
+    job.request = std::move(request);
+    job.callback = std::move(callback);
     if (const auto reason = enqueue(runner->queue, runner->policy, waiting, monotonicNow())) {
         finish(*runner, id, notRun(*reason, Millis(1000)));
         return 0;
@@ -299,7 +314,8 @@
     return id;
 }
 
-// The reply to a request that ran before, or that must not run here; nothing when it may run.
+// The reply to a request that ran before, or that must not run here; nothing when it may run. Asked when the request
+// would start, not when it comes: only then is this host established, and knows since when it alone starts requests.
 std::optional<Reply> Coordinators::remember(Runner& runner, const Request& request)
 {
     if (request.idempotent)
@@ -356,6 +372,11 @@
         finish(runner, id, notRun(RefusalReason::noOwner));
         return;
     }
+    if (auto known = remember(runner, job.request)) {
+        finish(runner, id, std::move(*known));
+        return;
+    }
+    job.remembered = !job.request.idempotent;
     job.call = m_node.http.start(requestCall(runner.upstream, job.request, *slot, runner.renewer.term, job.startedAt),
         [this, name = runner.upstream.name, id](HttpOutcome outcome) { onOutcome(name, id, std::move(outcome)); });
 }
@@ -389,7 +410,7 @@
         finishRun(
             runner.queue, job.request.order, answered ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
     }
-    if (!job.request.idempotent)
+    if (job.remembered)
         endOnce(runner.memory, job.request.idempotencyKey->text, reply);
     job.callback(std::move(reply));
 }
--- a/src/daemon/coordinator.h
+++ b/src/daemon/coordinator.h
@@ -41,6 +41,7 @@
         Request request;
         ReplyCallback callback;
         bool running = false;
+        bool remembered = false; // the memory holds it until it ends
         Millis startedAt {};
         HttpClient::CallId call = 0;
     };
@@ -74,6 +75,7 @@
     void report(Runner&, Millis now);
     void sendReport(Runner&, bool lost);
     void probe(Runner&, Millis now);
+    void settleLost(Runner&, Millis now);
     Runner& runnerOf(const UpstreamName&);
 
     std::optional<Reply> remember(Runner&, const Request&);
--- a/src/daemon/entry.cpp
+++ b/src/daemon/entry.cpp
@@ -28,8 +28,8 @@
 {
     std::vector<HostName> hosts;
     for (const auto& it : record.renewers) {
-        const bool leaving = it == node.members.self ? node.stopping : isLeaving(node.members, it);
-        if (isAlive(node.members, it) && !leaving)
+        const bool self = it == node.members.self;
+        if (self ? node.readFromStore && !node.stopping : canCoordinate(node.members, it))
             hosts.push_back(it);
     }
     return hosts;
--- a/src/daemon/heartbeats.cpp
+++ b/src/daemon/heartbeats.cpp
@@ -38,14 +38,15 @@
 
 Heartbeat Heartbeats::makeHeartbeat(bool isReply)
 {
-    return { m_node.members.incarnation, m_node.stopping, isReply, m_node.replica.revision, nextRumours(m_node.members),
-        nextSuspicions(m_node.quarantine) };
+    return { m_node.members.incarnation, m_node.stopping, m_node.readFromStore, isReply, m_node.replica.revision,
+        nextRumours(m_node.members), nextSuspicions(m_node.quarantine) };
 }
 
 void Heartbeats::onHeartbeat(const HostName& from, const Heartbeat& heartbeat)
 {
     const Millis now = monotonicNow();
     onHeard(m_node.members, from, heartbeat.incarnation, heartbeat.leaving, now);
+    onReadiness(m_node.members, from, heartbeat.ready);
     for (const auto& it : heartbeat.rumours)
         onRumour(m_node.members, it, now);
     for (const auto& it : heartbeat.suspicions)
@@ -92,17 +93,18 @@
 
 void Heartbeats::reportChanges()
 {
-    std::map<HostName, std::pair<HostState, bool>> present;
+    std::map<HostName, Reported> present;
     for (const auto& [name, member] : m_node.members.hosts)
-        present[name] = { member.state, member.leaving };
-    present[m_node.members.self] = { HostState::alive, m_node.members.own.leaving };
+        present[name] = { member.state, member.leaving, member.ready };
+    present[m_node.members.self] = { HostState::alive, m_node.members.own.leaving, m_node.readFromStore };
     if (present == m_reported)
         return;
     static const char* const names[] = { "alive", "suspect", "dead" };
     for (const auto& [name, state] : present) {
         const auto it = m_reported.find(name);
         if (it == m_reported.end() || it->second != state)
-            logInfo("host " + name + " is " + names[static_cast<int>(state.first)] + (state.second ? ", leaving" : ""));
+            logInfo("host " + name + " is " + names[static_cast<int>(state.state)] + (state.leaving ? ", leaving" : "")
+                + (state.ready ? "" : ", not ready to coordinate"));
     }
     for (const auto& [name, state] : m_reported) {
         if (!present.count(name))
--- a/src/daemon/heartbeats.h
+++ b/src/daemon/heartbeats.h
@@ -17,6 +17,19 @@
     void beat();
 
 private:
+    // A host's state as it was last logged.
+    struct Reported {
+        HostState state = HostState::alive;
+        bool leaving = false;
+        bool ready = true;
+
+        friend bool operator==(const Reported& a, const Reported& b)
+        {
+            return a.state == b.state && a.leaving == b.leaving && a.ready == b.ready;
+        }
+        friend bool operator!=(const Reported& a, const Reported& b) { return !(a == b); }
+    };
+
     void tick();
     void readHostList();
     void takeHostList(const std::string& body);
@@ -28,7 +41,7 @@
     std::function<void(const HostName&, StoreRevision)> m_onRevision;
     Timer m_beatTimer;
     Timer m_listTimer;
-    std::map<HostName, std::pair<HostState, bool>> m_reported;
+    std::map<HostName, Reported> m_reported;
 };
 
 } // namespace pistachiospur
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -177,11 +177,11 @@
 {
     if (tooLarge)
         return HttpFault::tooLarge;
-    double connected = 0;
-    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME, &connected);
+    // Counts every sending of the call: libcurl may have sent it on a reused connection that died, tried again on a new
+    // one, and been refused there.
     long requestBytes = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-    if (code == CURLE_COULDNT_CONNECT || (connected == 0 && requestBytes == 0))
+    if (requestBytes == 0)
         return HttpFault::notSent;
     return code == CURLE_OPERATION_TIMEDOUT ? HttpFault::timeout : HttpFault::broken;
 }
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -182,6 +182,20 @@
     return it != members.hosts.end() && it->second.leaving;
 }
 
+bool canCoordinate(const Members& members, const HostName& host)
+{
+    const auto it = members.hosts.find(host);
+    const bool ready = it == members.hosts.end() || it->second.ready;
+    return ready && isAlive(members, host) && !isLeaving(members, host);
+}
+
+void onReadiness(Members& members, const HostName& host, bool ready)
+{
+    const auto it = members.hosts.find(host);
+    if (it != members.hosts.end())
+        it->second.ready = ready;
+}
+
 std::vector<HostName> liveHosts(const Members& members, const DataCentreName& dataCentre)
 {
     std::vector<HostName> live;
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -56,6 +56,7 @@
     Millis lastHeard {};
     bool heard = false; // directly, at least once
     bool leaving = false; // said so itself, or the list does
+    bool ready = true; // may coordinate; a host that was not heard is taken to be ready
 };
 
 struct Members {
@@ -87,6 +88,10 @@
 // True while a host is listed and not taken for dead; this host itself always is.
 bool isAlive(const Members&, const HostName&);
 bool isLeaving(const Members&, const HostName&);
+// True when a host is alive, not leaving and, as far as is known, may coordinate.
+bool canCoordinate(const Members&, const HostName&);
+// A host said whether it may coordinate.
+void onReadiness(Members&, const HostName&, bool ready);
 // Live hosts that are not leaving, in name order; with a data centre, only its own.
 std::vector<HostName> liveHosts(const Members&);
 std::vector<HostName> liveHosts(const Members&, const DataCentreName&);
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -74,7 +74,8 @@
 }
 
 PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation))
-PISTACHIOSPUR_WIRE(Heartbeat, std::tie(it.incarnation, it.leaving, it.isReply, it.revision, it.rumours, it.suspicions))
+PISTACHIOSPUR_WIRE(
+    Heartbeat, std::tie(it.incarnation, it.leaving, it.ready, it.isReply, it.revision, it.rumours, it.suspicions))
 PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since))
 PISTACHIOSPUR_WIRE(ReplicaBatch, std::tie(it.batch))
 PISTACHIOSPUR_WIRE(ReplicaSnapshot, std::tie(it.snapshot))
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -23,6 +23,7 @@
 struct Heartbeat {
     Incarnation incarnation;
     bool leaving = false;
+    bool ready = false; // may coordinate: has read the store itself
     bool isReply = false;
     StoreRevision revision; // of the sender's replica
     std::vector<Rumour> rumours;
--- a/src/requests/refusal.cpp
+++ b/src/requests/refusal.cpp
@@ -26,6 +26,7 @@
     { "upstream-disowned", 503, "The upstream no longer owns the key", true },
     { "upstream-broken", 502, "The connection to the upstream broke while the request ran", false },
     { "upstream-timeout", 504, "The upstream did not answer in time", false },
+    { "upstream-lost", 502, "The upstream was lost while the request ran", false },
     { "quarantined", 422, "The request broke the upstreams that ran it", false },
     { "memory-too-young", 409, "The router cannot tell whether this request ran before", false },
     { "in-progress", 409, "The same request is running", false },
--- a/src/requests/retry.cpp
+++ b/src/requests/retry.cpp
@@ -24,7 +24,8 @@
 {
     if (isSettledByMemory(state, request, refusal))
         return true;
-    const bool worthIt = refusal.reason == RefusalReason::upstreamBroken || refusal.reason == RefusalReason::hostLost;
+    const bool worthIt = refusal.reason == RefusalReason::upstreamBroken
+        || refusal.reason == RefusalReason::upstreamLost || refusal.reason == RefusalReason::hostLost;
     if (!request.idempotent || !worthIt || state.runs >= kMostRuns || budget.tokens < 1)
         return false;
     budget.tokens -= 1;
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -296,24 +296,34 @@
     return true;
 }
 
+bool Site::isRunning(const HostName& name) const
+{
+    const auto it = m_hosts.find(name);
+    return it != m_hosts.end() && it->second.process && it->second.process->isRunning();
+}
+
 bool Site::isSettled()
 {
-    std::map<std::string, bool> coordinated;
-    std::map<std::string, std::size_t> slots;
+    std::map<UpstreamName, bool> settled;
+    const auto running
+        = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto& it) { return isRunning(it.first); });
     for (const auto& [name, host] : m_hosts) {
-        if (!host.process || !host.process->isRunning())
+        if (!isRunning(name))
             continue;
         const Json page = status(host);
-        if (!page.is_object() || page["upstreams"].empty())
+        if (!page.is_object() || page["upstreams"].empty() || page["moving_slots"] != 0)
+            return false;
+        const auto alive = std::count_if(
+            page["hosts"].begin(), page["hosts"].end(), [](const Json& it) { return it["state"] == "alive"; });
+        if (alive != running)
             return false;
         for (const auto& it : page["upstreams"]) {
-            coordinated[it["upstream"]] |= it["coordinated_here"].get<bool>();
-            slots[it["upstream"]] = it["slots"];
+            const HostName first = it["renewers"][0];
+            const bool preferred = first == name || !isRunning(first);
+            settled[it["upstream"]] |= it["coordinated_here"].get<bool>() && preferred && it["slots"] != 0;
         }
     }
-    return !coordinated.empty() && std::all_of(coordinated.begin(), coordinated.end(), [&](const auto& it) {
-        return it.second && slots[it.first];
-    });
+    return !settled.empty() && std::all_of(settled.begin(), settled.end(), [](const auto& it) { return it.second; });
 }
 
 std::vector<Json> Site::journal() const
--- a/standins/site.h
+++ b/standins/site.h
@@ -94,8 +94,10 @@
     bool publish(const std::map<ServiceName, std::vector<UpstreamName>>& keyed, std::string& out);
     // Calls until the condition holds; false after the time.
     bool waitFor(const std::function<bool()>&, Millis time);
-    // True when every upstream in the view of the first live host is serving with a coordinator and owns slots.
+    // True when the running hosts see one another, and every upstream owns slots, moves none, and is coordinated by its
+    // first running renewer.
     bool isSettled();
+    bool isRunning(const HostName&) const;
     // What the upstreams ran, from their journals.
     std::vector<Json> journal() const;
 
