--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 STANDINS := $(BUILD)/standin-store $(BUILD)/standin-hosts $(BUILD)/standin-upstream
 PROGRAMS := $(BUILD)/pistachiospurd $(BUILD)/pistachiospur
 
-.PHONY: help build install demo check test properties models format lint capacity bench clean end-to-end
+.PHONY: help build install demo check test properties models format lint capacity measure site clean
 .DEFAULT_GOAL := help
 
 help: ## list the targets
@@ -72,7 +72,7 @@
 
 lint: ## check format and lint; nothing is rewritten
 	clang-format --dry-run -Werror $(FORMATTED)
-	@printf '%s\n' $(ALL_SOURCES) | xargs -P 8 -n 1 sh -c 'clang-tidy --quiet $$0 -- $(FLAGS) 2>/dev/null || { echo "lint: $$0"; exit 255; }'
+	@printf '%s\n' $(ALL_SOURCES) | xargs -P 8 -n 1 sh -c 'clang-tidy --quiet $$0 -- $(FLAGS) 2>/dev/null || { echo "lint: $$0"; exit 1; }'
 
 test: $(BUILD)/unit-tests ## unit and property tests
 	timeout 300 $(BUILD)/unit-tests --log_level=message
@@ -89,6 +89,12 @@
 check: lint test models site ## all of the above, as CI does
 	@echo "check passed"
 
+$(BUILD)/site-bench: $(call object,bench/site.cpp standins/site.cpp) $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -o $@
+
+measure: build $(BUILD)/site-bench ## measure whole processes: an idle host as hosts are added, and a routed request
+	$(BUILD)/site-bench
+
 clean: ## remove what was built
 	rm -rf $(BUILD)
 
--- /dev/null
+++ b/bench/site.cpp
@@ -0,0 +1,180 @@
+// Measures whole processes on loopback: what a host costs when idle as hosts are added, and what a routed request
+// costs. Prints tables for docs/CAPACITY.md and docs/MEASURES.md.
+#include "standins/site.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <numeric>
+#include <sstream>
+#include <unistd.h>
+
+namespace {
+
+using namespace pistachiospur;
+
+constexpr Millis kIdleTime { 10000 };
+constexpr Millis kPatience { 30000 };
+constexpr int kConcurrency = 8;
+
+// Processor time of a process so far, in seconds.
+double cpuOf(const Process& process)
+{
+    std::ifstream file("/proc/" + std::to_string(process.pid()) + "/stat");
+    std::string word;
+    double ticks = 0;
+    for (int n = 1; n <= 15 && file >> word; ++n)
+        ticks += n >= 14 ? std::stod(word) : 0;
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double residentMegabytes(const Process& process)
+{
+    std::ifstream file("/proc/" + std::to_string(process.pid()) + "/statm");
+    double total = 0, resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20);
+}
+
+double metricOf(Site& site, const SiteHost& host, const std::string& name)
+{
+    std::istringstream text(site.call(host.admin, "GET", "/metrics").body);
+    for (std::string line; std::getline(text, line);) {
+        if (line.compare(0, name.size() + 1, name + " ") == 0)
+            return std::stod(line.substr(name.size() + 1));
+    }
+    return 0;
+}
+
+double storeCalls(Site& site)
+{
+    double total = 0;
+    const Json counts = site.storeCounts();
+    for (const auto& [path, n] : counts["calls"].items())
+        total += n.get<double>();
+    return total;
+}
+
+bool startSite(Site& site, int hosts, int upstreams)
+{
+    site.startStore();
+    site.startHostList();
+    for (int n = 0; n < hosts; ++n)
+        site.startHost("host-" + std::to_string(10 + n), n % 2 ? "east" : "west");
+    std::vector<UpstreamName> names;
+    for (int n = 0; n < upstreams; ++n) {
+        names.push_back("u" + std::to_string(10 + n));
+        site.startUpstream(names.back(), n % 2 ? "east" : "west", 1);
+    }
+    std::string out;
+    return site.publish({ { "atelier", names } }, out) && site.waitFor([&] { return site.isSettled(); }, kPatience);
+}
+
+// One row: the mean cost of a host that only keeps its place.
+void measureIdle(int hosts)
+{
+    Site site("build", "build/bench-site");
+    if (!startSite(site, hosts, 8)) {
+        std::printf("| %d | did not settle |\n", hosts);
+        return;
+    }
+    const auto sum = [&](auto value) {
+        double total = 0;
+        for (auto& [name, host] : site.hosts())
+            total += value(host);
+        return total / hosts;
+    };
+    const auto cpu = [](SiteHost& host) { return cpuOf(*host.process); };
+    const auto bytes = [&](SiteHost& host) { return metricOf(site, host, "pistachiospur_peer_bytes_total"); };
+    const auto messages = [&](SiteHost& host) { return metricOf(site, host, "pistachiospur_peer_messages_total"); };
+    const double cpuBefore = sum(cpu), bytesBefore = sum(bytes), messagesBefore = sum(messages);
+    const double callsBefore = storeCalls(site);
+    site.waitFor([] { return false; }, kIdleTime);
+    const double seconds = static_cast<double>(kIdleTime.count()) / 1000;
+    std::printf("| %d | %.2f %% | %.1f MB | %.1f | %.0f B | %.2f |\n", hosts, (sum(cpu) - cpuBefore) / seconds * 100,
+        sum([](SiteHost& host) { return residentMegabytes(*host.process); }),
+        (sum(messages) - messagesBefore) / seconds, (sum(bytes) - bytesBefore) / seconds,
+        (storeCalls(site) - callsBefore) / seconds);
+    std::fflush(stdout);
+}
+
+struct LoadResult {
+    std::vector<double> latenciesMs;
+    int answered = 0;
+};
+
+// Keeps a few requests under way until n have been answered.
+LoadResult sendMany(const std::vector<std::string>& urls, int n)
+{
+    HttpClient http(1 << 20);
+    LoadResult result;
+    int sent = 0, done = 0;
+    std::function<void()> next = [&] {
+        if (sent >= n)
+            return;
+        HttpCall call;
+        call.method = "GET";
+        call.url = urls[static_cast<std::size_t>(sent++) % urls.size()];
+        call.timeout = Millis(10000);
+        const auto began = std::chrono::steady_clock::now();
+        http.start(std::move(call), [&, began](const HttpOutcome& outcome) {
+            const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - began;
+            result.latenciesMs.push_back(took.count());
+            const auto* answer = std::get_if<HttpAnswer>(&outcome);
+            result.answered += answer && answer->status == 200;
+            if (++done == n)
+                breakLoop();
+            else
+                next();
+        });
+    };
+    for (int it = 0; it < kConcurrency; ++it)
+        next();
+    runLoop();
+    std::sort(result.latenciesMs.begin(), result.latenciesMs.end());
+    return result;
+}
+
+double percentile(const LoadResult& result, double share)
+{
+    return result.latenciesMs[static_cast<std::size_t>(static_cast<double>(result.latenciesMs.size() - 1) * share)];
+}
+
+void measureRequests()
+{
+    Site site("build", "build/bench-site");
+    if (!startSite(site, 2, 8)) {
+        std::printf("did not settle\n");
+        return;
+    }
+    const SiteHost& entry = site.hosts().begin()->second;
+    std::vector<std::string> urls;
+    for (int n = 0; n < 200; ++n)
+        urls.push_back("http://" + entry.callers.text() + "/atelier/key-" + std::to_string(n) + "/x");
+    sendMany(urls, 500);
+    for (const int n : { 2000, 4000, 8000 }) {
+        double cpu = 0;
+        for (auto& [name, host] : site.hosts())
+            cpu -= cpuOf(*host.process);
+        const auto result = sendMany(urls, n);
+        for (auto& [name, host] : site.hosts())
+            cpu += cpuOf(*host.process);
+        std::printf("| %d | %d | %.0f us | %.2f ms | %.2f ms |\n", n, result.answered, cpu / n * 1e6,
+            percentile(result, 0.5), percentile(result, 0.99));
+        std::fflush(stdout);
+    }
+}
+
+} // namespace
+
+int main()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::printf("| hosts | CPU of a host | resident | messages/s of a host | bytes/s of a host | store calls/s in all "
+                "|\n|---|---|---|---|---|---|\n");
+    for (const int hosts : { 4, 8, 16 })
+        measureIdle(hosts);
+    std::printf("\n| requests | answered | CPU of both hosts a request | p50 | p99 |\n|---|---|---|---|---|\n");
+    measureRequests();
+}
--- a/src/daemon/planner.cpp
+++ b/src/daemon/planner.cpp
@@ -15,6 +15,8 @@
 // A host that is not the first in order plans for so long after a report that others did not act on.
 constexpr Millis kStandInLife { 5000 };
 constexpr Millis kWritePatience { 3000 };
+// A table with nothing to do is looked through again after so long even if it has not changed.
+constexpr Millis kQuietLife { 5000 };
 // Pages in one conditional write, with room for the records that guard it.
 constexpr std::size_t kPagesPerWrite = 100;
 
@@ -51,8 +53,15 @@
         return;
     if (m_node.replica.revision < state.awaited && now < state.writeUntil)
         return;
-    (void)(keepRecords(placement) || markUpstreams(state, placement) || recover(state, placement, service)
-        || release(state, service) || move(placement, service));
+    if (keepRecords(placement) || markUpstreams(state, placement))
+        return;
+    // Nothing below depends on more than the table while no move is under way.
+    if (state.quietAt == m_node.replica.revision && now < state.quietUntil)
+        return;
+    const bool wrote = recover(state, placement, service) || release(state, service) || move(placement, service);
+    const bool quiet = !wrote && state.recoveries.empty() && state.releases.empty();
+    state.quietAt = quiet ? m_node.replica.revision : StoreRevision {};
+    state.quietUntil = now + kQuietLife;
 }
 
 // The platform's list may drop a host a little before its last order has lost its force.
@@ -71,6 +80,8 @@
         std::copy_if(record->renewers.begin(), record->renewers.end(), std::back_inserter(wanted),
             [&](const HostName& it) { return !isGone(it); });
     }
+    if (wanted.size() == kRenewers)
+        return wanted;
     for (const auto& it : chooseRenewers(upstream.name, liveHosts(m_node.members, upstream.dataCentre))) {
         if (wanted.size() < kRenewers && std::find(wanted.begin(), wanted.end(), it) == wanted.end())
             wanted.push_back(it);
@@ -168,8 +179,12 @@
 {
     const Millis now = monotonicNow();
     const bool ask = now >= state.askedAt + kAskAgain;
-    const auto counts = ownedCounts(m_node.view.ownership, service.name);
+    std::map<UpstreamName, std::size_t> counts;
     std::map<UpstreamName, Recovery> kept;
+    const bool anyLost = std::any_of(m_node.view.ownership.upstreams.begin(), m_node.view.ownership.upstreams.end(),
+        [](const auto& it) { return it.second.state == UpstreamState::lost; });
+    if (anyLost)
+        counts = ownedCounts(m_node.view.ownership, service.name);
     for (const auto& [name, record] : m_node.view.ownership.upstreams) {
         if (record.state != UpstreamState::lost || !counts.count(name))
             continue;
@@ -217,7 +232,11 @@
     const bool ask = now >= state.askedAt + kAskAgain;
     const auto& ownership = m_node.view.ownership;
     std::map<UpstreamName, Release> kept;
-    for (const auto& [name, record] : ownership.upstreams) {
+    for (const auto& name : movingUpstreams(ownership, service.name)) {
+        const auto found = ownership.upstreams.find(name);
+        if (found == ownership.upstreams.end())
+            continue;
+        const UpstreamRecord& record = found->second;
         const auto moves = completeMoves(ownership, service.name, name);
         if (moves.empty() || record.state != UpstreamState::serving)
             continue;
--- a/src/daemon/planner.h
+++ b/src/daemon/planner.h
@@ -31,6 +31,8 @@
         std::map<UpstreamName, Recovery> recoveries;
         std::map<UpstreamName, Release> releases;
         Millis askedAt {};
+        StoreRevision quietAt; // revision at which the table needed nothing
+        Millis quietUntil {};
         Millis standInUntil {}; // this host plans though it is not the first in order
     };
 
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -22,7 +22,7 @@
     spread(members, member.listed.host);
 }
 
-// Other hosts of this host's data centre in ring order, beginning after this host.
+// Laid out anew only when the list changes: a heartbeat's cost must not grow with the fleet.
 std::vector<HostName> ringAfterSelf(const Members& members)
 {
     std::vector<HostName> ring;
@@ -41,7 +41,7 @@
 // The nearest hosts on both sides; a dead one is watched still, and the next live one besides.
 std::set<HostName> ringNeighbours(const Members& members)
 {
-    const auto ring = ringAfterSelf(members);
+    const auto& ring = members.ring;
     std::set<HostName> found;
     const auto take = [&](auto from, auto to) {
         std::size_t live = 0;
@@ -60,6 +60,7 @@
 void applyHostList(Members& members, const std::vector<ListedHost>& list, Millis now)
 {
     std::set<HostName> listed;
+    bool changed = false;
     for (const auto& it : list) {
         listed.insert(it.host);
         if (it.host == members.self) {
@@ -71,6 +72,7 @@
         Member& member = found->second;
         if (fresh)
             member.lastHeard = now;
+        changed = changed || fresh || member.listed.dataCentre != it.dataCentre;
         member.listed = it;
         member.leaving = member.leaving || it.leaving;
     }
@@ -79,10 +81,13 @@
             ++it;
             continue;
         }
+        changed = true;
         members.gone.emplace(it->first, now);
         members.fresh.erase(it->first);
         it = members.hosts.erase(it);
     }
+    if (changed)
+        members.ring = ringAfterSelf(members);
     if (!members.listRead)
         members.listReadAt = now;
     members.listRead = true;
@@ -139,8 +144,10 @@
 {
     auto targets = ringNeighbours(members);
     if (!members.hosts.empty()) {
-        auto it = members.hosts.begin();
-        std::advance(it, static_cast<long>(members.round++ % members.hosts.size()));
+        auto it = members.hosts.upper_bound(members.lastOther);
+        if (it == members.hosts.end())
+            it = members.hosts.begin();
+        members.lastOther = it->first;
         targets.insert(it->first);
     }
     return { targets.begin(), targets.end() };
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -67,7 +67,8 @@
     Millis listReadAt {}; // first reading of the list
     std::map<HostName, unsigned> fresh; // hosts whose state is still to be passed on, and how often
     ListedHost own;
-    std::size_t round = 0;
+    std::vector<HostName> ring; // the data centre's other hosts in hash order, beginning after this one
+    HostName lastOther; // met outside the ring last
     bool listRead = false;
 };
 
--- a/src/ownership/release.cpp
+++ b/src/ownership/release.cpp
@@ -23,6 +23,19 @@
 
 bool isReleased(const Release& release) { return release.awaited.empty(); }
 
+std::set<UpstreamName> movingUpstreams(const OwnershipTable& table, const ServiceName& service)
+{
+    std::set<UpstreamName> names;
+    const auto it = table.services.find(service);
+    if (it == table.services.end())
+        return names;
+    for (const auto& slot : it->second.slots) {
+        if (slot.movingTo != kNoUpstream)
+            names.insert(table.names.nameOf(slot.owner));
+    }
+    return names;
+}
+
 std::vector<SlotChange> completeMoves(const OwnershipTable& table, const ServiceName& service, const UpstreamName& from)
 {
     std::vector<SlotChange> changes;
--- a/src/ownership/release.h
+++ b/src/ownership/release.h
@@ -33,6 +33,8 @@
 // True when the slots may change owner.
 bool isReleased(const Release&);
 
+// The upstreams that slots of the service are marked to leave.
+std::set<UpstreamName> movingUpstreams(const OwnershipTable&, const ServiceName&);
 // The records that complete every marked move away from an upstream.
 std::vector<SlotChange> completeMoves(const OwnershipTable&, const ServiceName&, const UpstreamName& from);
 
--- a/src/peers/link.cpp
+++ b/src/peers/link.cpp
@@ -18,13 +18,13 @@
 constexpr std::size_t kGreatestFrame = 80u << 20;
 
 struct QuietClient : websocketpp::config::core_client {
-    static const std::size_t max_message_size
-        = kGreatestFrame; // NOLINT(readability-identifier-naming): the library's name
+    // NOLINTNEXTLINE(readability-identifier-naming): the library's name
+    static const std::size_t max_message_size = kGreatestFrame;
 };
 
 struct QuietServer : websocketpp::config::core {
-    static const std::size_t max_message_size
-        = kGreatestFrame; // NOLINT(readability-identifier-naming): the library's name
+    // NOLINTNEXTLINE(readability-identifier-naming): the library's name
+    static const std::size_t max_message_size = kGreatestFrame;
 };
 
 template <typename EndpointType> EndpointType& sharedEndpoint()
--- a/standins/site.h
+++ b/standins/site.h
@@ -30,6 +30,7 @@
     // Waits for the process to end by itself; false after the time.
     bool waitEnd(Millis time);
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
     // Exit status, or minus the signal's number.
     int status() const { return m_status; }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -17,6 +17,7 @@
 std::vector<ListedHost> hostList(int n, const char* dataCentre = "laval")
 {
     std::vector<ListedHost> list;
+    list.reserve(static_cast<std::size_t>(n));
     for (int it = 0; it < n; ++it)
         list.push_back({ "h" + std::to_string(it), dataCentre,
             { "10.0.0.1", static_cast<std::uint16_t>(1000 + it % 60000) }, false });
@@ -124,6 +125,7 @@
 {
     OwnershipTable table;
     std::vector<UpstreamName> targets;
+    targets.reserve(31);
     for (int n = 0; n < 30; ++n)
         targets.push_back("u" + std::to_string(100 + n));
     const auto place = [&] {
