Host list: one host of each data centre reads it for the others

Cause: every host read the whole list every second, at 11,000 hosts 1.1 MB/s where 13 KB/s are allowed; the largest shortfall in docs/CAPACITY.md. Ruled out: a longer interval alone (a lag of 60 s still costs 18 KB/s and hides that a host is gone). Change: the relay root reads, and passes on what is new down the tree that already carries the store's changes; heartbeats carry a digest of the list, and a host whose copy differs from another's for 3 s reads it itself. A first form waited until no other host agreed: hosts with equally stale lists kept one another from reading, and one site of eight hosts did not settle.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -235,7 +235,7 @@
     processor("CPU per heartbeat sent, decoded and taken in, 11,000 members", { 500, 1000, 2000 }, [](std::uint32_t n) {
         static Members members = membersOf(11000);
         for (std::uint32_t it = 0; it < n; ++it) {
-            const Heartbeat beat { Incarnation { 1 }, false, true, true, StoreRevision { it }, nextRumours(members),
+            const Heartbeat beat { Incarnation { 1 }, false, true, true, StoreRevision { it }, 0, nextRumours(members),
                 {} };
             const auto back = decode(encode(beat));
             onHeard(members, "entry-host-100001", std::get<Heartbeat>(*back).incarnation, false, Millis(it));
@@ -308,12 +308,14 @@
 {
     std::printf("\n| message | size |\n|---|---|\n");
     printSize("heartbeat without rumours",
-        encode(Heartbeat { Incarnation { 1796376510693 }, false, true, false, StoreRevision { 1000000 }, {}, {} })
+        encode(Heartbeat {
+                   Incarnation { 1796376510693 }, false, true, false, StoreRevision { 1000000 }, 1ull << 63, {}, {} })
             .size());
     const std::vector<Rumour> rumours(
         kRumoursPerHeartbeat, { "entry-host-100001", Incarnation { 1796376510693 }, HostState::dead });
     printSize("heartbeat with as many rumours as fit",
-        encode(Heartbeat { Incarnation { 1796376510693 }, false, true, false, StoreRevision { 1000000 }, rumours, {} })
+        encode(Heartbeat { Incarnation { 1796376510693 }, false, true, false, StoreRevision { 1000000 }, 1ull << 63,
+                   rumours, {} })
             .size());
     printSize("relayed request with a body of 512 B", encode(Relay { 1, "upstream-1", sampleRequest(1) }).size());
     const Renewal renewal { "entry-host-100001#1796376510693", Term { 9 }, Challenge { 1ull << 63 }, 1ull << 63, false,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -92,6 +92,7 @@
                    [&](const RenewalStopped& it) { m_planner.onStopped(from, it); },
                    [&](const ReleaseQuery& it) { m_node.send(from, m_coordinators.reportRelease(it.upstream)); },
                    [&](const ReleaseReport& it) { m_planner.onReleaseReport(from, it); },
+                   [&](const HostListNews& it) { m_heartbeats.onHostListNews(it.change); },
                    [&](Relay& it) { onRelay(from, std::move(it)); },
                    [&](RelayReply& it) { m_entry.onRelayReply(from, std::move(it)); },
                    [&](const RelayCancel& it) {
--- a/src/daemon/heartbeats.cpp
+++ b/src/daemon/heartbeats.cpp
@@ -5,13 +5,20 @@
 
 namespace pistachiospur {
 
+namespace {
+
+// Time between two readings by a host that does not read for others.
+constexpr Millis kListReadAnyway { 300000 };
+
+} // namespace
+
 Heartbeats::Heartbeats(
     Node& node, std::function<void()> onChange, std::function<void(const HostName&, StoreRevision)> onRevision)
     : m_node(node)
     , m_onChange(std::move(onChange))
     , m_onRevision(std::move(onRevision))
     , m_beatTimer([this] { tick(); })
-    , m_listTimer([this] { readHostList(); })
+    , m_listTimer([this] { considerHostList(); })
 {
 }
 
@@ -39,13 +46,15 @@
 Heartbeat Heartbeats::makeHeartbeat(bool isReply)
 {
     return { m_node.members.incarnation, m_node.stopping, m_node.readFromStore, isReply, m_node.replica.revision,
-        nextRumours(m_node.members), nextSuspicions(m_node.quarantine) };
+        m_node.members.listDigest, nextRumours(m_node.members), nextSuspicions(m_node.quarantine) };
 }
 
 void Heartbeats::onHeartbeat(const HostName& from, const Heartbeat& heartbeat)
 {
     const Millis now = monotonicNow();
     onHeard(m_node.members, from, heartbeat.incarnation, heartbeat.leaving, now);
+    if (onListDigest(m_differences, from, heartbeat.listDigest == m_node.members.listDigest, now))
+        readHostList();
     onReadiness(m_node.members, from, heartbeat.ready);
     for (const auto& it : heartbeat.rumours)
         onRumour(m_node.members, it, now);
@@ -57,8 +66,35 @@
     reportChanges();
 }
 
+// One host of each data centre reads the list for the others and passes on what is new. Another host reads it at its
+// start, when its copy has differed from another's for a while, and now and then in any case.
+void Heartbeats::considerHostList()
+{
+    const Millis now = monotonicNow();
+    const bool root = relayRoot(m_node.members) == m_node.members.self;
+    if (root || !m_node.members.listRead || now - m_listReadAt >= kListReadAnyway)
+        readHostList();
+}
+
+void Heartbeats::onHostListNews(const HostListChange& change)
+{
+    const auto news = applyHostListChange(m_node.members, change, monotonicNow());
+    m_node.members.own.leaving = m_node.members.own.leaving || m_node.stopping;
+    if (news.isEmpty())
+        return;
+    passOn(news);
+    reportChanges();
+}
+
+void Heartbeats::passOn(const HostListChange& change)
+{
+    for (const auto& child : relayChildren(m_node.members))
+        m_node.send(child, HostListNews { change });
+}
+
 void Heartbeats::readHostList()
 {
+    m_listReadAt = monotonicNow();
     HttpCall call;
     call.method = "GET";
     call.url = "http://" + m_node.settings.hostList.text() + "/hosts";
@@ -86,8 +122,10 @@
     }
     if (!errors.empty())
         return;
-    applyHostList(m_node.members, list, monotonicNow());
+    const auto news = applyHostList(m_node.members, list, monotonicNow());
     m_node.members.own.leaving = m_node.members.own.leaving || m_node.stopping;
+    if (!news.isEmpty())
+        passOn(news);
     reportChanges();
 }
 
--- a/src/daemon/heartbeats.h
+++ b/src/daemon/heartbeats.h
@@ -13,6 +13,7 @@
 
     void start();
     void onHeartbeat(const HostName& from, const Heartbeat&);
+    void onHostListNews(const HostListChange&);
     // Sends heartbeats now, as when this host begins to leave.
     void beat();
 
@@ -31,8 +32,10 @@
     };
 
     void tick();
+    void considerHostList();
     void readHostList();
     void takeHostList(const std::string& body);
+    void passOn(const HostListChange&);
     Heartbeat makeHeartbeat(bool isReply);
     void reportChanges();
 
@@ -41,6 +44,8 @@
     std::function<void(const HostName&, StoreRevision)> m_onRevision;
     Timer m_beatTimer;
     Timer m_listTimer;
+    Millis m_listReadAt {}; // when this host last read the list itself
+    ListDifferences m_differences;
     std::map<HostName, Reported> m_reported;
 };
 
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -57,40 +57,91 @@
 
 } // namespace
 
-void applyHostList(Members& members, const std::vector<ListedHost>& list, Millis now)
+namespace {
+
+std::uint64_t digestOf(const ListedHost& host)
 {
-    std::set<HostName> listed;
-    bool changed = false;
-    for (const auto& it : list) {
-        listed.insert(it.host);
-        if (it.host == members.self) {
-            members.own = it;
+    const std::string text
+        = host.host + " " + host.dataCentre + " " + host.peers.text() + (host.leaving ? " leaving" : "");
+    return XXH64(text.data(), text.size(), 0);
+}
+
+const ListedHost* findListed(const Members& members, const HostName& host)
+{
+    if (host == members.self)
+        return members.ownListed ? &*members.ownListed : nullptr;
+    const auto it = members.hosts.find(host);
+    return it == members.hosts.end() ? nullptr : &it->second.listed;
+}
+
+void putListed(Members& members, const ListedHost& host, Millis now)
+{
+    if (host.host == members.self) {
+        members.ownListed = host;
+        members.own = host;
+        return;
+    }
+    members.gone.erase(host.host);
+    const auto [it, fresh] = members.hosts.try_emplace(host.host);
+    if (fresh)
+        it->second.lastHeard = now;
+    it->second.listed = host;
+    it->second.leaving = it->second.leaving || host.leaving;
+}
+
+void removeListed(Members& members, const HostName& host, Millis now)
+{
+    if (host == members.self) {
+        members.ownListed.reset();
+        return;
+    }
+    members.gone.emplace(host, now);
+    members.fresh.erase(host);
+    members.hosts.erase(host);
+}
+
+} // namespace
+
+HostListChange applyHostListChange(Members& members, const HostListChange& change, Millis now)
+{
+    HostListChange news;
+    for (const auto& it : change.present) {
+        const ListedHost* known = findListed(members, it.host);
+        if (known && *known == it)
             continue;
-        }
-        members.gone.erase(it.host);
-        const auto [found, fresh] = members.hosts.try_emplace(it.host);
-        Member& member = found->second;
-        if (fresh)
-            member.lastHeard = now;
-        changed = changed || fresh || member.listed.dataCentre != it.dataCentre;
-        member.listed = it;
-        member.leaving = member.leaving || it.leaving;
+        members.listDigest ^= (known ? digestOf(*known) : 0) ^ digestOf(it);
+        putListed(members, it, now);
+        news.present.push_back(it);
     }
-    for (auto it = members.hosts.begin(); it != members.hosts.end();) {
-        if (listed.count(it->first)) {
-            ++it;
+    for (const auto& it : change.removed) {
+        const ListedHost* known = findListed(members, it);
+        if (!known)
             continue;
-        }
-        changed = true;
-        members.gone.emplace(it->first, now);
-        members.fresh.erase(it->first);
-        it = members.hosts.erase(it);
+        members.listDigest ^= digestOf(*known);
+        removeListed(members, it, now);
+        news.removed.push_back(it);
     }
-    if (changed)
+    if (!news.isEmpty())
         members.ring = ringAfterSelf(members);
+    return news;
+}
+
+HostListChange applyHostList(Members& members, const std::vector<ListedHost>& list, Millis now)
+{
+    HostListChange change { list, {} };
+    std::set<HostName> listed;
+    for (const auto& it : list)
+        listed.insert(it.host);
+    for (const auto& [name, member] : members.hosts) {
+        if (!listed.count(name))
+            change.removed.push_back(name);
+    }
+    if (!listed.count(members.self))
+        change.removed.push_back(members.self);
     if (!members.listRead)
         members.listReadAt = now;
     members.listRead = true;
+    return applyHostListChange(members, change, now);
 }
 
 void onHeard(Members& members, const HostName& host, Incarnation incarnation, bool leaving, Millis now)
@@ -173,6 +224,19 @@
     return now - (it == members.gone.end() ? members.listReadAt : it->second);
 }
 
+bool onListDigest(ListDifferences& differences, const HostName& host, bool equal, Millis now)
+{
+    if (equal) {
+        differences.erase(host);
+        return false;
+    }
+    const Millis since = differences.emplace(host, now).first->second;
+    if (now - since < kListDisagreement)
+        return false;
+    differences.clear();
+    return true;
+}
+
 bool isAlive(const Members& members, const HostName& host)
 {
     if (host == members.self)
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -3,6 +3,7 @@
 #include "pistachiospur/types.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,6 +50,14 @@
     }
 };
 
+// What is new in the platform's list: enough to bring another host's copy up to date.
+struct HostListChange {
+    std::vector<ListedHost> present; // new or different
+    std::vector<HostName> removed;
+
+    bool isEmpty() const { return present.empty() && removed.empty(); }
+};
+
 struct Member {
     ListedHost listed;
     HostState state = HostState::alive;
@@ -67,13 +76,18 @@
     Millis listReadAt {}; // first reading of the list
     std::map<HostName, unsigned> fresh; // hosts whose state is still to be passed on, and how often
     ListedHost own;
+    std::optional<ListedHost> ownListed; // this host as the platform lists it
+    std::uint64_t listDigest = 0; // of every listed host, this one included; equal where the lists are
     std::vector<HostName> ring; // the data centre's other hosts in hash order, beginning after this one
     HostName lastOther; // met outside the ring last
     bool listRead = false;
 };
 
-// Takes in the platform's list. Hosts that vanish from it are gone for good unless they are listed again.
-void applyHostList(Members&, const std::vector<ListedHost>&, Millis now);
+// Takes in the platform's whole list and tells what was new in it. Hosts that vanish from it are gone for good unless
+// they are listed again.
+HostListChange applyHostList(Members&, const std::vector<ListedHost>&, Millis now);
+// Takes in what another host found new; tells what of it was new here.
+HostListChange applyHostListChange(Members&, const HostListChange&, Millis now);
 // A host was heard directly.
 void onHeard(Members&, const HostName&, Incarnation, bool leaving, Millis now);
 // Takes in what another host says. A rumour against this host raises its own incarnation.
@@ -87,6 +101,14 @@
 // How long a host has been missing from the platform's list, as far as this host can tell; zero while it is listed.
 Millis goneFor(const Members&, const HostName&, Millis now);
 // True while a host is listed and not taken for dead; this host itself always is.
+// When other hosts' copies of the list began to differ from this one's, for each host that was heard.
+using ListDifferences = std::map<HostName, Millis>;
+// A copy that differs from one other host's for so long is read anew.
+constexpr Millis kListDisagreement { 3000 };
+// A host said which list it has. True when the list should be read: that host's copy has differed all the time since it
+// first did. Copies that are equal prove nothing, since both may be stale.
+bool onListDigest(ListDifferences&, const HostName&, bool equal, Millis now);
+
 bool isAlive(const Members&, const HostName&);
 bool isLeaving(const Members&, const HostName&);
 // True when a host is alive, not leaving and, as far as is known, may coordinate.
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -74,8 +74,8 @@
 }
 
 PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation))
-PISTACHIOSPUR_WIRE(
-    Heartbeat, std::tie(it.incarnation, it.leaving, it.ready, it.isReply, it.revision, it.rumours, it.suspicions))
+PISTACHIOSPUR_WIRE(Heartbeat,
+    std::tie(it.incarnation, it.leaving, it.ready, it.isReply, it.revision, it.listDigest, it.rumours, it.suspicions))
 PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since))
 PISTACHIOSPUR_WIRE(ReplicaBatch, std::tie(it.batch))
 PISTACHIOSPUR_WIRE(ReplicaSnapshot, std::tie(it.snapshot))
@@ -88,6 +88,10 @@
 PISTACHIOSPUR_WIRE(Relay, std::tie(it.id, it.upstream, it.request))
 PISTACHIOSPUR_WIRE(RelayReply, std::tie(it.id, it.reply))
 PISTACHIOSPUR_WIRE(RelayCancel, std::tie(it.id))
+PISTACHIOSPUR_WIRE(Endpoint, std::tie(it.address, it.port))
+PISTACHIOSPUR_WIRE(ListedHost, std::tie(it.host, it.dataCentre, it.peers, it.leaving))
+PISTACHIOSPUR_WIRE(HostListChange, std::tie(it.present, it.removed))
+PISTACHIOSPUR_WIRE(HostListNews, std::tie(it.change))
 
 namespace {
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -26,6 +26,7 @@
     bool ready = false; // may coordinate: has read the store itself
     bool isReply = false;
     StoreRevision revision; // of the sender's replica
+    std::uint64_t listDigest = 0; // of the sender's copy of the host list
     std::vector<Rumour> rumours;
     std::vector<Suspicion> suspicions;
 };
@@ -89,8 +90,13 @@
     std::uint64_t id = 0;
 };
 
+// What the relay root found new in the platform's host list, passed on down the tree.
+struct HostListNews {
+    HostListChange change;
+};
+
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
-    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel>;
+    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews>;
 
 std::string encode(const Message&);
 // Nothing when the bytes are not one whole, well-formed message.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -121,6 +121,44 @@
     BOOST_TEST(goneFor(members, "h1", Millis(9400)).count() == 400);
 }
 
+// One host reads the list and others hear only what was new: they must end with the same list.
+RC_BOOST_PROP(hostListPassedOnAsChangesEqualsTheListRead, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    Members root, other;
+    root.self = "h0";
+    other.self = "h99";
+    std::vector<ListedHost> list;
+    for (int n = 1; n < 40; ++n) {
+        list = hostList(1 + static_cast<int>(random() % 12));
+        for (auto& it : list)
+            it.leaving = random() % 4 == 0;
+        if (random() % 3 == 0)
+            list.erase(list.begin() + static_cast<long>(random() % list.size()));
+        const auto news = applyHostList(root, list, Millis(n));
+        const auto twice = applyHostListChange(other, news, Millis(n));
+        applyHostListChange(other, news, Millis(n));
+        RC_ASSERT(twice.isEmpty() || !news.isEmpty());
+        RC_ASSERT(root.listDigest == other.listDigest);
+    }
+    RC_ASSERT(root.hosts.size() + root.ownListed.has_value() == list.size());
+    RC_ASSERT(other.hosts.size() == list.size());
+    RC_ASSERT(applyHostList(root, list, Millis(99)).isEmpty());
+}
+
+// Found by a site of eight hosts that did not settle: hosts with equally stale lists kept one another from reading.
+BOOST_AUTO_TEST_CASE(hostReadsTheListAnewThoughSomeOthersAreEquallyStale)
+{
+    ListDifferences differences;
+    bool reads = false;
+    for (Millis now(0); now <= kListDisagreement; now += Millis(200)) {
+        reads = onListDigest(differences, "equally-stale", true, now) || reads;
+        reads = onListDigest(differences, "newer", false, now) || reads;
+    }
+    BOOST_TEST(reads);
+    BOOST_TEST(!onListDigest(differences, "newer", false, kListDisagreement));
+}
+
 BOOST_AUTO_TEST_CASE(lossOfOneUpstreamMovesOnlyItsSlots)
 {
     OwnershipTable table;
