Stand-in upstream: a limit on open connections

Cause: our users' upstreams take 40 to 130 connections; the stand-in took any number, so a coordinator that opened too many would not have been noticed. Ruled out: counting in the request handler, which an idle connection never meets. Change: the HTTP server takes its limit as an argument; the stand-in's is 40.

--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -55,12 +55,14 @@
     std::shared_ptr<HttpExchange> m_exchange;
 };
 
+constexpr unsigned kMostConnections = 10000;
+
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, Responder)>;
 
     // Starts listening. Port 0 takes a free one. Throws std::system_error when the address cannot be bound.
-    HttpServer(const Endpoint&, std::size_t maxBodyBytes, Handler);
+    HttpServer(const Endpoint&, std::size_t maxBodyBytes, Handler, unsigned maxConnections = kMostConnections);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -17,6 +17,7 @@
 ABSL_FLAG(int, port, 0, "port to listen on; 0 takes a free one, which is printed");
 ABSL_FLAG(std::string, name, "upstream", "name in answers and in the journal");
 ABSL_FLAG(int, slots, 2, "requests that run at once");
+ABSL_FLAG(int, connections, 40, "connections that are open at once; more are closed at once");
 ABSL_FLAG(int, run_ms, 5, "how long each request runs");
 ABSL_FLAG(int, ttl_ms, 1000, "life of a grant after its challenge was issued");
 ABSL_FLAG(std::string, journal, "", "file to append the journal to");
@@ -41,8 +42,10 @@
 public:
     UpstreamStandin()
         : m_journal(absl::GetFlag(FLAGS_journal), std::ios::app)
-        , m_server({ absl::GetFlag(FLAGS_address), static_cast<std::uint16_t>(absl::GetFlag(FLAGS_port)) }, 64u << 20,
-              [this](const HttpRequest& request, const Responder& responder) { onRequest(request, responder); })
+        , m_server(
+              { absl::GetFlag(FLAGS_address), static_cast<std::uint16_t>(absl::GetFlag(FLAGS_port)) }, 64u << 20,
+              [this](const HttpRequest& request, const Responder& responder) { onRequest(request, responder); },
+              static_cast<unsigned>(absl::GetFlag(FLAGS_connections)))
     {
     }
 
