Build: make check and make demo compile with every processor

Cause: on a fresh clone make check compiled one file at a time: after four minutes it was still compiling, though nothing was wrong. Ruled out: -j for the whole of check, which would run lint, models and site tests at once and disturb one another. Change: a compile step with as many jobs as processors comes first.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 CXX ?= g++
 CXXFLAGS ?= -O2 -g1
 BUILD ?= build
+JOBS ?= $(shell nproc)
 FLAGS := -std=c++17 -Wall -Wextra -Werror -MMD -MP -Iinclude -Isrc -I. -DBOOST_TEST_DYN_LINK
 LIBS := -lev -lmicrohttpd -lcurl -lprometheus-cpp-core -llog4cplus -lxxhash $(shell pkg-config --libs absl_flags absl_flags_parse absl_flags_usage absl_strings)
 PACKAGES := g++ make pkg-config clang-format clang-tidy libev-dev libwebsocketpp-dev prometheus-cpp-dev \
@@ -21,7 +22,7 @@
 STANDINS := $(BUILD)/standin-store $(BUILD)/standin-hosts $(BUILD)/standin-upstream
 PROGRAMS := $(BUILD)/pistachiospurd $(BUILD)/pistachiospur
 
-.PHONY: help build install demo check test properties models format lint capacity measure site clean
+.PHONY: help compile build install demo check test properties models format lint capacity measure site clean
 .DEFAULT_GOAL := help
 
 help: ## list the targets
@@ -62,7 +63,12 @@
 $(BUILD)/demo: $(BUILD)/standins/demo.o $(BUILD)/standins/site.o $(BUILD)/libpistachiospur.a
 	$(CXX) $^ $(LIBS) -o $@
 
-demo: install build $(BUILD)/demo ## install what is missing, build, run a whole site on loopback and stop it
+# Compiles everything with as many jobs as there are processors, whatever the order of the targets that follow.
+compile:
+	$(MAKE) --no-print-directory -j$(JOBS) $(PROGRAMS) $(STANDINS) $(BUILD)/demo $(BUILD)/unit-tests \
+		$(BUILD)/site-tests $(BUILD)/capacity $(BUILD)/site-bench
+
+demo: install compile ## install what is missing, build, run a whole site on loopback and stop it
 	timeout 120 $(BUILD)/demo $(BUILD)
 
 FORMATTED := $(ALL_SOURCES) $(ALL_HEADERS)
@@ -86,7 +92,7 @@
 capacity: $(BUILD)/capacity ## measure the slopes of docs/CAPACITY.md again
 	$(BUILD)/capacity
 
-check: lint test models site ## all of the above, as CI does
+check: compile lint test models site ## all of the above, as CI does
 	@echo "check passed"
 
 $(BUILD)/site-bench: $(call object,bench/site.cpp standins/site.cpp) $(BUILD)/libpistachiospur.a
