--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 STANDINS := $(BUILD)/standin-store $(BUILD)/standin-hosts $(BUILD)/standin-upstream
 PROGRAMS := $(BUILD)/pistachiospurd $(BUILD)/pistachiospur
 
-.PHONY: help compile build install demo check test properties models format lint capacity measure site clean
+.PHONY: help compile build install demo check test models format lint capacity measure site clean
 .DEFAULT_GOAL := help
 
 help: ## list the targets
