Gateway: a failed watch reads anew; a stopping host closes its door before it leaves

Change: the listening socket closes after the balancer's notice; the process leaves only when nothing is open.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -48,7 +48,7 @@
     , m_dialect(dialect)
     , m_store(dialect.openStore(http, settings.store, Millis(settings.limits.storeTimeoutMs)))
     , m_incarnation(incarnation)
-    , m_retryTimer([this] { m_revision.value == 0 ? readAll() : followChanges(); })
+    , m_retryTimer([this] { readAll(); })
     , m_leaseTimer([this] { renewLease(); })
 {
 }
@@ -90,6 +90,8 @@
     m_onChange();
 }
 
+// After a failure everything is read anew: a watch that goes on from the last revision can wait in silence for a history
+// that is gone, while a read answers as soon as the store does.
 void Directory::followChanges()
 {
     m_store->watch(
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <utility>
 
 namespace pistachiospur {
 
@@ -20,6 +21,10 @@
 constexpr Millis kStopCheck { 50 };
 // A stopping host still gets connections until the balancer has asked twice in vain, once a second.
 constexpr Millis kBalancerNotice { 2600 };
+// A stopping process leaves by itself so long before the platform kills it.
+constexpr Millis kKillMargin { 500 };
+// Ending the lease is tried for so long; it lapses by itself if the store does not answer.
+constexpr Millis kLeaseEndTime { 300 };
 constexpr std::size_t kCallerBody = 64u << 20;
 constexpr std::size_t kAdminBody = 4096;
 
@@ -224,12 +229,21 @@
 {
     const Millis now = monotonicNow();
     const bool idle = m_door.pendingCount() == 0 && m_dispatcher.jobCount() == 0;
-    const bool late = now >= m_stopAt + Millis(m_site.settings.limits.stopTimeoutMs);
-    if (!late && (!idle || now < m_stopAt + kBalancerNotice))
+    const bool late = now >= m_stopAt + Millis(m_site.settings.limits.graceMs) - kKillMargin;
+    if (!late && now < m_stopAt + kBalancerNotice)
+        return;
+    // The balancer may go on sending connections here when few hosts of the data centre are ready; from now on they are
+    // refused, so that their callers try another host.
+    if (!std::exchange(m_leaseEnding, true)) {
+        m_callerServer.stopListening();
+        m_site.directory.endLease([this] { m_leaseEnded = true; });
+    }
+    const bool lapsing = now >= m_stopAt + kBalancerNotice + kLeaseEndTime;
+    if (!late && !(idle && (m_leaseEnded || lapsing)))
         return;
     m_stopTimer.stop();
     logEvent(EventKind::state, "stopped", { { "open_requests", m_door.pendingCount() } });
-    m_site.directory.endLease([] { breakLoop(); });
+    breakLoop();
 }
 
 // The settings of a running gateway hold for its life; a change is checked and told, and takes effect at the next start.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,6 +43,8 @@
     Timer m_loadTimer;
     Timer m_stopTimer;
     Millis m_stopAt {};
+    bool m_leaseEnding = false;
+    bool m_leaseEnded = false;
     SignalWatcher m_terminate;
     SignalWatcher m_interrupt;
     SignalWatcher m_hangUp;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -18,7 +18,7 @@
     std::int64_t hostLeaseMs = 0;
     std::int64_t storeTimeoutMs = 0;
     std::int64_t drainMs = 0;
-    std::int64_t stopTimeoutMs = 0;
+    std::int64_t graceMs = 0;
     std::int64_t queuePerRank = 0;
     std::int64_t retryRatioPercent = 0;
     std::int64_t retrySlack = 0;
