Stop: peers hear it directly, idle connections close, late relays go back

Change: a stopping host tells its peers itself and sends late relays back as not run; connections without an open exchange close a second after the door does; callers' idle time-out of the configuration is applied.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -102,6 +102,7 @@
                    },
                    [](const LoadReport&) {}, // the rest is between hosts of a gateway
                    [](const RangeNews&) {},
+                   [](const HostLeaving&) {},
                },
         message);
 }
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -237,6 +237,8 @@
     entry.peers = { record.value("address", ""), record.value("port", std::uint16_t(0)) };
     entry.incarnation = { record.value("incarnation", std::uint64_t(0)) };
     entry.leaving = record.value("leaving", false);
+    const auto known = m_hosts.find(name);
+    entry.leaving |= known != m_hosts.end() && known->second.leaving && known->second.incarnation == entry.incarnation;
     logEvent(EventKind::state, "host",
         { { "peer", name }, { "incarnation", entry.incarnation.value }, { "leaving", entry.leaving } });
     m_hosts[name] = std::move(entry);
@@ -288,6 +290,15 @@
     known = std::move(stored);
 }
 
+void Directory::learnLeaving(const HostName& host, Incarnation incarnation)
+{
+    const auto it = m_hosts.find(host);
+    if (it == m_hosts.end() || it->second.incarnation != incarnation)
+        return;
+    it->second.leaving = true;
+    logEvent(EventKind::state, "host_leaving", { { "peer", host } });
+}
+
 const KeeperEntry* Directory::keeperOf(const ServiceName& service) const
 {
     const auto it = m_keepers.find(service);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -61,6 +61,8 @@
     const StoredTable* tableOf(const ServiceName&) const;
     // Takes a table that the keeper sent, if it is newer.
     void learnTable(const ServiceName&, StoredTable);
+    // Takes a host's own word that it stops; its entry in the store may say so later, or never.
+    void learnLeaving(const HostName&, Incarnation);
     // Takes what this host wrote itself.
     void learnKeeper(const ServiceName&, KeeperEntry);
     // The life that an upstream has now, or the last one known; null when it was never heard of.
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -167,8 +167,11 @@
         found->second->job = job;
 }
 
-void Door::onRelayReply(const HostName&, RelayReply reply)
+void Door::onRelayReply(const HostName& from, RelayReply reply)
 {
+    const auto* refusal = std::get_if<Refusal>(&reply.reply);
+    if (refusal && refusal->reason == RefusalReason::stopping)
+        m_site.unreachableUntil[from] = monotonicNow() + kHostAvoidance;
     onReply(reply.id >> kAttemptBits, static_cast<unsigned>(reply.id) & kAttemptMask, std::move(reply.reply));
 }
 
@@ -230,6 +233,7 @@
     switch (refusal.reason) {
     case RefusalReason::hostUnreachable:
     case RefusalReason::notCoordinator:
+    case RefusalReason::stopping:
     case RefusalReason::upstreamUnreachable:
         return true;
     case RefusalReason::upstreamDisowned:
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 constexpr Millis kBalancerNotice { 2600 };
 // A stopping process leaves by itself so long before the platform kills it.
 constexpr Millis kKillMargin { 500 };
+// Hosts that have not heard of the stop after so long have their requests sent back.
+constexpr Millis kHostNotice { 300 };
 // Ending the lease is tried for so long; it lapses by itself if the store does not answer.
 constexpr Millis kLeaseEndTime { 300 };
 constexpr std::size_t kCallerBody = 64u << 20;
@@ -91,6 +93,8 @@
                 m_keepers[name] = std::make_unique<Keeper>(m_site, name);
         }
     }
+    if (routes)
+        m_callerServer.setIdleTimeout(routes->limits.idleTimeout);
     m_dispatcher.refresh();
     m_door.refresh();
     for (auto& [name, keeper] : m_keepers)
@@ -121,6 +125,7 @@
                        if (keeper != m_keepers.end())
                            keeper->second->onLoadReport(it);
                    },
+                   [&](const HostLeaving& it) { m_site.directory.learnLeaving(from, it.incarnation); },
                    [&](RangeNews& it) { onRangeNews(std::move(it)); },
                    [](const auto&) {}, // the rest is between hosts that own upstreams by challenge
                },
@@ -129,6 +134,10 @@
 
 void Gateway::onRelay(const HostName& from, Relay relay)
 {
+    if (m_site.stopping && monotonicNow() >= m_stopAt + kHostNotice) {
+        m_site.hub.send(from, RelayReply { relay.id, notRun(RefusalReason::stopping) });
+        return;
+    }
     relay.request.deadline += monotonicNow();
     const auto key = std::pair(from, relay.id);
     const auto job = m_dispatcher.handle(relay.upstream, std::move(relay.request), [this, key](Reply reply) {
@@ -220,6 +229,10 @@
     m_site.stopping = true;
     m_stopAt = monotonicNow();
     m_site.directory.announceLeaving();
+    for (const auto& [host, entry] : m_site.directory.hosts()) {
+        if (!isSelf(m_site, host))
+            m_site.hub.send(host, HostLeaving { m_site.incarnation });
+    }
     for (auto& [name, keeper] : m_keepers)
         keeper->resign([] {});
     m_stopTimer.every(kStopCheck);
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -13,6 +13,13 @@
 
 namespace pistachiospur {
 
+namespace {
+
+// The shortest that libmicrohttpd can count.
+constexpr Millis kIdleTimeWhileStopping { 1000 };
+
+} // namespace
+
 struct HttpExchange {
     HttpServer* server = nullptr; // null once the server is gone
     MHD_Connection* connection = nullptr; // null once the caller is gone
@@ -172,6 +179,25 @@
             request.body.append(data, n);
     }
 
+    static void onConnection(void* cls, MHD_Connection* connection, void**, MHD_ConnectionNotificationCode code)
+    {
+        auto& server = *static_cast<HttpServer*>(cls);
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+            server.m_connections.erase(connection);
+            return;
+        }
+        server.m_connections.insert(connection);
+        if (server.m_idleTimeout.count() > 0)
+            limitIdleTime(connection, server.m_idleTimeout);
+    }
+
+    // libmicrohttpd counts whole seconds.
+    static void limitIdleTime(MHD_Connection* connection, Millis timeout)
+    {
+        const auto seconds = static_cast<unsigned>((timeout.count() + 999) / 1000);
+        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, seconds);
+    }
+
     static void onCompleted(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode)
     {
         auto* exchange = static_cast<ExchangePtr*>(*state);
@@ -254,8 +280,8 @@
     const int fd = listenOn(at);
     m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, Internals::onAccess,
         this, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED, Internals::onCompleted, nullptr,
-        MHD_OPTION_URI_LOG_CALLBACK, Internals::onTarget, nullptr, MHD_OPTION_CONNECTION_LIMIT, maxConnections,
-        MHD_OPTION_END);
+        MHD_OPTION_URI_LOG_CALLBACK, Internals::onTarget, nullptr, MHD_OPTION_NOTIFY_CONNECTION, Internals::onConnection, this,
+        MHD_OPTION_CONNECTION_LIMIT, maxConnections, MHD_OPTION_END);
     if (!m_daemon)
         throw std::system_error(ENOMEM, std::generic_category(), at.text());
     m_port = boundPort(fd);
@@ -273,6 +299,9 @@
     const auto fd = MHD_quiesce_daemon(m_daemon);
     if (fd != MHD_INVALID_SOCKET)
         close(fd);
+    for (auto* it : m_connections)
+        Internals::limitIdleTime(it, kIdleTimeWhileStopping);
+    schedule();
 }
 
 void HttpServer::run()
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,8 +71,10 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
     std::uint16_t port() const { return m_port; }
-    // Closes the listening socket; open exchanges go on.
+    // Closes the listening socket and soon every connection without an open exchange; open exchanges go on.
     void stopListening();
+    // Closes connections that callers leave idle for so long. Connections that are open already keep what they had.
+    void setIdleTimeout(Millis timeout) { m_idleTimeout = timeout; }
 
     struct Internals;
 
@@ -81,6 +84,8 @@
 
     MHD_Daemon* m_daemon = nullptr;
     std::uint16_t m_port = 0;
+    std::set<MHD_Connection*> m_connections;
+    Millis m_idleTimeout {}; // zero: none
     bool m_runAgain = false; // a connection was resumed since the last run began
     std::size_t m_maxBodyBytes;
     Handler m_handler;
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -96,6 +96,7 @@
 PISTACHIOSPUR_WIRE(LoadReport::Run, std::tie(it.life, it.runMs))
 PISTACHIOSPUR_WIRE(LoadReport, std::tie(it.service, it.over, it.counts, it.runs))
 PISTACHIOSPUR_WIRE(RangeNews::Pending, std::tie(it.first, it.last, it.readyIn))
+PISTACHIOSPUR_WIRE(HostLeaving, std::tie(it.incarnation))
 PISTACHIOSPUR_WIRE(RangeNews, std::tie(it.service, it.revision, it.table, it.pending))
 
 namespace {
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -121,8 +121,13 @@
     std::vector<Pending> pending;
 };
 
+// The sender stops: it takes no new work.
+struct HostLeaving {
+    Incarnation incarnation;
+};
+
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
-    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews, LoadReport, RangeNews>;
+    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews, LoadReport, RangeNews, HostLeaving>;
 
 std::string encode(const Message&);
 // Nothing when the bytes are not one whole, well-formed message.
--- /dev/null
+++ b/tests/budget_test.cpp
@@ -0,0 +1,39 @@
+#include "requests/budget.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace pistachiospur;
+
+BOOST_AUTO_TEST_SUITE(RepeatBudgets)
+
+RC_BOOST_PROP(repeatsInAnyWindowStayWithinTheBound, ())
+{
+    const RepeatPolicy policy { 0.2, 5, Millis(1000) };
+    RepeatBudget budget;
+    std::vector<Millis> requests, repeats;
+    Millis now { 0 };
+    for (int n = 0; n < 300; ++n) {
+        now += Millis(*rc::gen::inRange(0, 30));
+        if (*rc::gen::inRange(0, 3) == 0) {
+            countRequest(budget, policy, now);
+            requests.push_back(now);
+        } else if (spendRepeat(budget, policy, now)) {
+            repeats.push_back(now);
+        }
+    }
+    for (const auto end : repeats) {
+        const auto within = [&](const Millis& it) { return end - policy.window <= it && it <= end; };
+        const auto asked = std::count_if(requests.begin(), requests.end(), within);
+        const auto spent = std::count_if(repeats.begin(), repeats.end(), within);
+        RC_ASSERT(static_cast<double>(spent) <= policy.ratio * static_cast<double>(asked) + policy.slack);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEmptyBudgetAllowsNothing)
+{
+    RepeatBudget budget;
+    BOOST_TEST(!spendRepeat(budget, { 0.2, 0, Millis(1000) }, Millis(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/ranges_test.cpp
@@ -0,0 +1,184 @@
+#include "ranges/balance.h"
+#include "ranges/ledger.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+
+using namespace pistachiospur;
+
+namespace {
+
+LifeId life(int n, std::int64_t born = 1) { return { "u" + std::to_string(n), { born } }; }
+
+std::vector<OwnerFacts> ownersUpTo(int n)
+{
+    std::vector<OwnerFacts> owners;
+    for (int it = 0; it < n; ++it)
+        owners.push_back({ life(it), 10 });
+    return owners;
+}
+
+// Ranges after some random assignments.
+std::vector<Range> randomRanges(int owners)
+{
+    auto ranges = evenRanges(ownersUpTo(owners));
+    const int moves = *rc::gen::inRange(0, 20);
+    for (int n = 0; n < moves; ++n) {
+        const auto a = *rc::gen::inRange(0u, kKeySlots), b = *rc::gen::inRange(0u, kKeySlots);
+        assign(ranges, { std::min(a, b) }, { std::max(a, b) }, life(*rc::gen::inRange(0, owners)));
+    }
+    return ranges;
+}
+
+const Range& rangeAt(const std::vector<Range>& ranges, SlotId slot)
+{
+    return *std::find_if(
+        ranges.begin(), ranges.end(), [&](const Range& it) { return it.first <= slot && slot <= it.last; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Ranges)
+
+RC_BOOST_PROP(assignmentsCoverEverySlotOnceAndHitOnlyTheirSlots, ())
+{
+    auto ranges = randomRanges(*rc::gen::inRange(1, 12));
+    const auto before = ranges;
+    const auto a = *rc::gen::inRange(0u, kKeySlots), b = *rc::gen::inRange(0u, kKeySlots);
+    const SlotId first { std::min(a, b) }, last { std::max(a, b) };
+    assign(ranges, first, last, life(99));
+    RC_ASSERT(coversEverySlot(ranges));
+    const SlotId probe { *rc::gen::inRange(0u, kKeySlots) };
+    const bool inside = first <= probe && probe <= last;
+    RC_ASSERT(rangeAt(ranges, probe).owner == (inside ? life(99) : rangeAt(before, probe).owner));
+}
+
+RC_BOOST_PROP(everyEarlierOwnerStaysListedUntilItIsCleared, ())
+{
+    auto ranges = randomRanges(6);
+    const SlotId probe { *rc::gen::inRange(0u, kKeySlots) };
+    const LifeId owner = rangeAt(ranges, probe).owner;
+    assign(ranges, probe, probe, life(50));
+    assign(ranges, probe, probe, life(51));
+    const auto& previous = rangeAt(ranges, probe).previous;
+    RC_ASSERT(std::count(previous.begin(), previous.end(), owner) == 1);
+    RC_ASSERT(std::count(previous.begin(), previous.end(), life(50)) == 1);
+    RC_ASSERT(std::count(previous.begin(), previous.end(), life(51)) == 0);
+}
+
+RC_BOOST_PROP(aTableSurvivesItsText, ())
+{
+    RangeTable table { "host#1/2", randomRanges(5) };
+    const StoreRevision revision { *rc::gen::inRange<std::uint64_t>(1, 1000000) };
+    const auto decoded = decodeRangeTable(encode(table), revision);
+    RC_ASSERT(decoded.has_value());
+    for (auto& it : table.ranges) {
+        if (it.fence == kFenceOfThisWrite)
+            it.fence = revision;
+    }
+    RC_ASSERT(*decoded == table);
+}
+
+BOOST_AUTO_TEST_CASE(brokenTablesAreRefused)
+{
+    BOOST_TEST(!decodeRangeTable("", {}));
+    BOOST_TEST(!decodeRangeTable("[]", {}));
+    BOOST_TEST(!decodeRangeTable(R"({"writer":"a","ranges":[]})", {}));
+    BOOST_TEST(!decodeRangeTable(
+        R"({"writer":"a","ranges":[{"first":0,"last":7,"owner":["u",1],"fence":1}]})", {}));
+}
+
+RC_BOOST_PROP(joiningChangesNoSlot, ())
+{
+    const auto before = randomRanges(4);
+    auto joined = before;
+    joinNeighbours(joined);
+    RC_ASSERT(coversEverySlot(joined));
+    RC_ASSERT(joined.size() <= before.size());
+    const SlotId probe { *rc::gen::inRange(0u, kKeySlots) };
+    const auto &a = rangeAt(before, probe), &b = rangeAt(joined, probe);
+    RC_ASSERT(a.owner == b.owner && a.fence == b.fence && a.previous == b.previous);
+}
+
+RC_BOOST_PROP(planLeavesNothingWithUpstreamsThatLeft, ())
+{
+    const int n = *rc::gen::inRange(2, 12);
+    auto ranges = randomRanges(n);
+    auto owners = ownersUpTo(n);
+    owners.erase(owners.begin() + *rc::gen::inRange(0, n));
+    SlotLoads loads;
+    for (int it = 0; it < 30; ++it)
+        loads[*rc::gen::inRange(0u, kKeySlots)] += 1;
+    for (const auto& it : planMoves(ranges, owners, loads, {}, {}))
+        assign(ranges, it.first, it.last, it.to);
+    RC_ASSERT(coversEverySlot(ranges));
+    for (const auto& it : ranges)
+        RC_ASSERT(std::any_of(owners.begin(), owners.end(), [&](const auto& o) { return o.id == it.owner; }));
+}
+
+BOOST_AUTO_TEST_CASE(hotNeighboursAreSpread)
+{
+    const auto owners = ownersUpTo(10);
+    auto ranges = evenRanges(owners);
+    SlotLoads loads;
+    for (std::uint32_t slot = 1000; slot < 1060; ++slot)
+        loads[slot] = 0.7; // 42 requests a second, four upstreams' worth
+    for (int round = 0; round < 20; ++round) {
+        for (const auto& it : planMoves(ranges, owners, loads, {}, {}))
+            assign(ranges, it.first, it.last, it.to);
+        for (auto& it : ranges)
+            it.previous.clear();
+    }
+    std::map<LifeId, double> load;
+    for (const auto& [slot, rate] : loads)
+        load[rangeAt(ranges, { slot }).owner] += rate;
+    for (const auto& [owner, rate] : load)
+        BOOST_TEST(rate <= 10); // an upstream's capacity
+}
+
+BOOST_AUTO_TEST_CASE(newUpstreamGetsSlots)
+{
+    auto ranges = evenRanges(ownersUpTo(4));
+    const auto moves = planMoves(ranges, ownersUpTo(5), { { 5, 1.0 }, { 40000, 1.0 } }, {}, {});
+    BOOST_TEST(std::any_of(moves.begin(), moves.end(), [](const Move& it) { return it.to == life(4); }));
+}
+
+BOOST_AUTO_TEST_CASE(answeredReleaseLeavesOnlyUnansweredGrantsToWaitFor)
+{
+    GrantLedger ledger;
+    const Millis hold { 5000 };
+    recordSent(ledger, 1, life(1), { 0 }, { 99 });
+    BOOST_TEST(!mayHoldUntil(ledger, life(1), { 0 }, { 9 }, Counted::unansweredOnly).has_value());
+    recordAnswered(ledger, 1, Millis(1000), hold);
+    BOOST_TEST((mayHoldUntil(ledger, life(1), { 0 }, { 9 }, Counted::everyGrant) == Millis(1000) + longestHold(hold)));
+    BOOST_TEST((mayHoldUntil(ledger, life(1), { 0 }, { 9 }, Counted::unansweredOnly) == Millis(0)));
+    recordSent(ledger, 2, life(1), { 5 }, { 20 });
+    recordUnanswered(ledger, 2, Millis(2000), hold);
+    BOOST_TEST((mayHoldUntil(ledger, life(1), { 9 }, { 9 }, Counted::unansweredOnly) == Millis(2000) + longestHold(hold)));
+    BOOST_TEST((mayHoldUntil(ledger, life(1), { 50 }, { 60 }, Counted::unansweredOnly) == Millis(0)));
+    BOOST_TEST((mayHoldUntil(ledger, life(2), { 9 }, { 9 }, Counted::everyGrant) == Millis(0)));
+}
+
+BOOST_AUTO_TEST_CASE(longestHoldCoversAClockThatRunsTwoPercentSlow)
+{
+    for (const Millis hold : { Millis(500), Millis(5000), Millis(10000) })
+        BOOST_TEST((longestHold(hold).count() * 98 > hold.count() * 100));
+}
+
+BOOST_AUTO_TEST_CASE(voidOrdersAndExpiredRecordsAreForgotten)
+{
+    GrantLedger ledger;
+    recordSent(ledger, 1, life(1), { 0 }, { 9 });
+    recordVoid(ledger, 1);
+    BOOST_TEST(ledger.records.empty());
+    recordSent(ledger, 2, life(1), { 0 }, { 9 });
+    recordUnanswered(ledger, 2, Millis(0), Millis(1000));
+    forgetExpired(ledger, Millis(900));
+    BOOST_TEST(ledger.records.size() == 1u);
+    forgetExpired(ledger, longestHold(Millis(1000)));
+    BOOST_TEST(ledger.records.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/translation_test.cpp
@@ -0,0 +1,203 @@
+#include "platform/callers.h"
+#include "platform/configuration.h"
+#include "platform/upstreams.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace pistachiospur;
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+Json goodConfiguration()
+{
+    return Json::parse(R"({"version":"0000000c",
+        "services":[{"name":"a","health-path":"/health","max-conns":130,"sharded":true,"warm-s":5.0},{"name":"b"}],
+        "limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+        "virtual-hosts":[{"hostname":"F.example","path-matches":[
+            {"name":"r1","path-prefix":"/x/","route-type":"safe","timeout-ms":1000.0,"target-latency-ms":500,
+             "priority":1,"max-attempts":2,"traffic-split":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+            {"name":"r2","path-prefix":"/y/","route-type":"unsafe","timeout-ms":1200,"service":"b"}]}]})");
+}
+
+// The first fault's field; empty when the text decodes.
+template <typename Decode> std::string faultyField(Decode decode)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_CHECK(decode());
+            return std::string();
+        },
+        [](const DocumentError& error) { return error.faults.empty() ? "document" : error.faults.front().field; },
+        [] { return std::string("unknown"); });
+}
+
+std::string configurationFault(const Json& document)
+{
+    return faultyField([&] { return platform::decodeConfiguration(document.dump()); });
+}
+
+std::string entryFault(const std::string& text)
+{
+    return faultyField([&] { return platform::decodeUpstream("i-1", text); });
+}
+
+const std::string kGoodEntry = R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":2,
+    "state":"ready","warmup-left-ms":0,"sequence":4,"born":1700000000000})";
+
+Request sampleRequest()
+{
+    Request request;
+    request.method = "POST";
+    request.target = "/x/../a?b=%2f";
+    request.headers = { { "host", "f.example" }, { "request-id", "r1" }, { "deadline-ms", "9000" },
+        { "connection", "keep-alive" }, { "x-other", "1" }, { "shard-key", "7" } };
+    request.body = "body";
+    return request;
+}
+
+HttpAnswer answerFor(const Request& request, int status)
+{
+    return { status, { { "request-id", request.headers.at("request-id") }, { "server-seal", "s" } }, "whole" };
+}
+
+std::string headerIn(const HttpCall& call, const std::string& name)
+{
+    for (const auto& [n, value] : call.headers) {
+        if (n == name)
+            return value;
+    }
+    return "absent";
+}
+
+RefusalReason reasonOf(const Reply& reply) { return std::get<Refusal>(reply).reason; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Translation)
+
+BOOST_AUTO_TEST_CASE(configurationIsDecodedWhole)
+{
+    const auto table = leaf::try_handle_all(
+        [] { return platform::decodeConfiguration(goodConfiguration().dump()); }, [] { return RoutingTable {}; });
+    BOOST_TEST(table.version.value == 12u);
+    BOOST_TEST(table.services.at("a").keyed);
+    BOOST_TEST(!table.services.at("b").keyed);
+    const auto& routes = table.hosts.at("f.example");
+    BOOST_TEST(routes.size() == 2u);
+    BOOST_TEST(routes[0].idempotent);
+    BOOST_TEST((routes[0].timeout == Millis(1000)));
+    BOOST_TEST(routes[0].parts.size() == 2u);
+    BOOST_TEST(!routes[1].idempotent);
+    BOOST_TEST((routes[1].target == Millis(1200)));
+    BOOST_TEST(routes[1].maxAttempts == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(everyFaultyConfigurationNamesItsField)
+{
+    BOOST_TEST(configurationFault(Json::array()) == "document");
+    Json it = goodConfiguration();
+    it["version"] = "12";
+    BOOST_TEST(configurationFault(it) == "version");
+    it = goodConfiguration();
+    it["virtual-hosts"][0]["path-matches"][1]["service"] = "nobody";
+    BOOST_TEST(configurationFault(it) == "service");
+    it = goodConfiguration();
+    it["virtual-hosts"][0]["path-matches"][0]["path-prefix"] = "x/";
+    BOOST_TEST(configurationFault(it) == "path-prefix");
+    it = goodConfiguration();
+    it["virtual-hosts"][0]["path-matches"][0]["traffic-split"][0]["weight"] = -1;
+    BOOST_TEST(configurationFault(it) == "traffic-split");
+    it = goodConfiguration();
+    it["virtual-hosts"][0]["path-matches"][0].erase("timeout-ms");
+    BOOST_TEST(configurationFault(it) == "timeout-ms");
+    BOOST_TEST(configurationFault(goodConfiguration()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(faultyEntriesNameNoUpstream)
+{
+    BOOST_TEST(entryFault(kGoodEntry) == "");
+    BOOST_TEST(entryFault("\xff\xfe") != "");
+    for (const char* field : { "service", "address", "zone", "slots", "state", "born" }) {
+        Json it = Json::parse(kGoodEntry);
+        it.erase(field);
+        BOOST_TEST(entryFault(it.dump()) == field);
+        it[field] = Json::array();
+        BOOST_TEST(entryFault(it.dump()) == field);
+    }
+    Json it = Json::parse(kGoodEntry);
+    it["state"] = "asleep";
+    BOOST_TEST(entryFault(it.dump()) == "state");
+}
+
+BOOST_AUTO_TEST_CASE(requestGoesOutUnchangedForOneLifeWithWhatIsLeft)
+{
+    const UpstreamLife life { { "i-1", { 5 } }, "a", { "10.0.0.1", 80 }, "z", 2, false, {} };
+    const HttpCall call = platform::requestCall(life, sampleRequest(), Millis(700));
+    BOOST_TEST(call.target == "/x/../a?b=%2f");
+    BOOST_TEST(call.body == "body");
+    BOOST_TEST(headerIn(call, "request-id") == "r1");
+    BOOST_TEST(headerIn(call, "x-other") == "1");
+    BOOST_TEST(headerIn(call, "connection") == "absent");
+    BOOST_TEST(headerIn(call, "deadline-ms") == "absent");
+    BOOST_TEST(headerIn(call, "Deadline-Ms") == "700");
+    BOOST_TEST(headerIn(call, "Target-Instance") == "i-1");
+    BOOST_TEST(call.freshConnection); // libcurl resends on kept connections by itself
+}
+
+BOOST_AUTO_TEST_CASE(onlyAWholeSealedAnswerOfTheRequestItselfPasses)
+{
+    const Request request = sampleRequest();
+    BOOST_TEST(std::holds_alternative<Answer>(platform::interpretAnswer(answerFor(request, 200), request)));
+    HttpAnswer it = answerFor(request, 200);
+    it.headers.erase("server-seal");
+    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request)) == RefusalReason::upstreamBroken));
+    it = answerFor(request, 200);
+    it.headers["request-id"] = "another";
+    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request)) == RefusalReason::upstreamBroken));
+    it = answerFor(request, 200);
+    it.headers["content-encoding"] = "gzip";
+    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request)) == RefusalReason::upstreamBroken));
+    it = answerFor(request, 500);
+    BOOST_TEST(std::holds_alternative<Answer>(platform::interpretAnswer(it, request)));
+}
+
+BOOST_AUTO_TEST_CASE(notRunIsSaidOnlyWhereTheUpstreamOrTheSocketProvesIt)
+{
+    const Request request = sampleRequest();
+    const auto ranAfter = [&](HttpOutcome outcome) {
+        return std::get<Refusal>(platform::interpretAnswer(std::move(outcome), request)).ran;
+    };
+    BOOST_TEST((ranAfter(HttpFailure { HttpFault::notSent }) == Ran::no));
+    BOOST_TEST((ranAfter(HttpFailure { HttpFault::broken }) == Ran::unknown));
+    BOOST_TEST((ranAfter(HttpFailure { HttpFault::timeout }) == Ran::unknown));
+    BOOST_TEST((ranAfter(HttpAnswer { 503, { { "not-executed", "1" } }, "" }) == Ran::no));
+    BOOST_TEST((ranAfter(HttpAnswer { 421, {}, "" }) == Ran::no));
+    BOOST_TEST((platform::refusalResponse(notRun(RefusalReason::queueFull, Millis(250))).status == 503));
+    BOOST_TEST((platform::refusalResponse(maybeRun(RefusalReason::upstreamShed)).status == 502));
+    BOOST_TEST((platform::refusalResponse(maybeRun(RefusalReason::upstreamTimeout)).status == 504));
+    BOOST_TEST((platform::refusalResponse(notRun(RefusalReason::noRoute)).status == 404));
+    for (int reason = 0; reason < static_cast<int>(RefusalReason::count); ++reason) {
+        const int status = platform::refusalResponse(maybeRun(static_cast<RefusalReason>(reason))).status;
+        BOOST_TEST((status != 503 && status != 429 && status != 408 && status != 421));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ordersAreInterpretedWithoutGuessing)
+{
+    const auto verdict = [](int status) { return platform::interpretGrant(HttpAnswer { status, {}, "" }); };
+    BOOST_TEST((verdict(200) == OrderVerdict::done));
+    BOOST_TEST((verdict(409) == OrderVerdict::outdatedFence));
+    BOOST_TEST((verdict(421) == OrderVerdict::otherLife));
+    BOOST_TEST((verdict(400) == OrderVerdict::refused));
+    BOOST_TEST((verdict(500) == OrderVerdict::unanswered));
+    BOOST_TEST((platform::interpretGrant(HttpFailure { HttpFault::notSent }) == OrderVerdict::notSent));
+    BOOST_TEST((platform::interpretGrant(HttpFailure { HttpFault::timeout }) == OrderVerdict::unanswered));
+    const auto released = platform::interpretRelease(HttpAnswer { 200, { { "handover", "abc" } }, "" });
+    BOOST_TEST((released.verdict == OrderVerdict::done && released.handover == "abc"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
