Upstreams: an answer from another instance proves that the old one has ended

Change: a 421 that names another instance marks the life as ended at once, on the coordinator and on the keeper, which then moves its ranges without waiting for the grants to end.

--- a/include/pistachiospur/request.h
+++ b/include/pistachiospur/request.h
@@ -66,6 +66,7 @@
     stopping,
     hostUnreachable,
     hostLost,
+    upstreamReplaced,
     count, // number of reasons
 };
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -65,7 +65,7 @@
     ReleaseResult (*interpretRelease)(const HttpOutcome&);
     // `timeLeft` is what the upstream may take.
     HttpCall (*requestCall)(const UpstreamLife&, const Request&, Millis timeLeft);
-    Reply (*interpretAnswer)(HttpOutcome, const Request&);
+    Reply (*interpretAnswer)(HttpOutcome, const Request&, const UpstreamName& sentTo);
 };
 
 } // namespace pistachiospur
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -207,6 +207,8 @@
             { { "upstream", name }, { "revision", change.version.value }, { "perhaps_lapsed", lapse } });
         return;
     }
+    if (m_endedLives.count(life->id))
+        return;
     LifeEntry entry { *life, std::nullopt, false };
     if (life->draining)
         entry.leavingSince = known != m_lives.end() && known->second.life.id == life->id
@@ -317,8 +319,24 @@
     return it == m_lives.end() || it->second.life.id != id ? nullptr : &it->second;
 }
 
+void Directory::learnEnded(const LifeId& id)
+{
+    if (!m_endedLives.insert(id).second)
+        return;
+    logEvent(EventKind::state, "upstream_ended",
+        { { "upstream", id.name }, { "born", id.born.value }, { "reason", "another one has its address" } });
+    const auto it = m_lives.find(id.name);
+    if (it == m_lives.end() || it->second.life.id != id)
+        return;
+    it->second.entryGone = true;
+    it->second.leavingSince = std::min(monotonicNow(), it->second.leavingSince.value_or(monotonicNow()));
+    m_onChange();
+}
+
 bool Directory::isProvenDead(const LifeId& id) const
 {
+    if (m_endedLives.count(id))
+        return true;
     const auto it = m_lives.find(id.name);
     return it != m_lives.end() && id.born < it->second.life.id.born;
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 // This host's copy of the store: configuration, upstreams, hosts, keepers and their tables; and this host's own entry
 // there, under a lease.
@@ -67,7 +68,9 @@
     void learnKeeper(const ServiceName&, KeeperEntry);
     // The life that an upstream has now, or the last one known; null when it was never heard of.
     const LifeEntry* findLife(const LifeId&) const;
-    // True when a later start under the same name shows that the life has ended.
+    // Takes the proof that a life has ended: another upstream answers at its address.
+    void learnEnded(const LifeId&);
+    // True when that, or a later start under the same name, shows that the life has ended.
     bool isProvenDead(const LifeId&) const;
 
     LeasedStore& store() { return *m_store; }
@@ -106,6 +109,7 @@
     StoreRevision m_configurationRevision;
     Millis m_configurationAt {}; // when it came into force, on the monotonic clock
     std::map<UpstreamName, LifeEntry> m_lives;
+    std::set<LifeId> m_endedLives; // proven, whatever their entries say
     std::map<HostName, HostEntry> m_hosts;
     std::map<ServiceName, KeeperEntry> m_keepers;
     std::map<ServiceName, StoredTable> m_tables;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -147,7 +147,7 @@
     Pool& pool = m_pools.at(poolName);
     const Job& job = pool.jobs.at(id);
     const Millis now = monotonicNow();
-    Reply reply = m_site.dialect.interpretAnswer(std::move(outcome), job.request);
+    Reply reply = m_site.dialect.interpretAnswer(std::move(outcome), job.request, job.life.name);
     Member& member = pool.members[job.life];
     if (const auto* refusal = std::get_if<Refusal>(&reply)) {
         if (refusal->ran == Ran::no)
@@ -160,7 +160,12 @@
         const double ms = static_cast<double>((now - job.startedAt).count());
         member.runMs = member.runMs == 0 ? ms : member.runMs + kRunWeight * (ms - member.runMs);
     }
+    const auto* refusal = std::get_if<Refusal>(&reply);
+    const bool replaced = refusal && refusal->reason == RefusalReason::upstreamReplaced;
+    const LifeId life = job.life;
     finish(pool, id, std::move(reply));
+    if (replaced)
+        m_site.directory.learnEnded(life);
     pump(pool);
 }
 
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -210,7 +210,8 @@
         ++pending.runs;
     if (tryAgain(pending, *refusal)) {
         m_site.metrics.count("pistachiospur_retries_total", { { "reason", factsOf(refusal->reason).name } });
-        const bool owner = refusal->reason == RefusalReason::upstreamDisowned;
+        const bool owner = refusal->reason == RefusalReason::upstreamDisowned
+            || refusal->reason == RefusalReason::upstreamReplaced;
         const bool connect = refusal->reason == RefusalReason::upstreamUnreachable;
         return pauseFor(id, owner ? kOwnerPause : connect ? kConnectPause : Millis(0));
     }
@@ -237,6 +238,7 @@
     case RefusalReason::upstreamUnreachable:
         return true;
     case RefusalReason::upstreamDisowned:
+    case RefusalReason::upstreamReplaced:
     case RefusalReason::upstreamShed:
         return pending.tries < std::max(2u, pending.maxAttempts)
             && spendRepeat(m_budgets[request.service], repeatPolicy(), now);
--- a/src/gateway/keeper.cpp
+++ b/src/gateway/keeper.cpp
@@ -438,6 +438,8 @@
         recordVoid(m_ledger, order);
     m_site.metrics.count(
         "pistachiospur_renewals_total", { { "result", verdict == OrderVerdict::done ? "accepted" : "failed" } });
+    if (verdict == OrderVerdict::otherLife)
+        m_site.directory.learnEnded(range.owner);
     const auto found = m_holdings.find(keyOf(range));
     if (found == m_holdings.end())
         return;
--- a/src/requests/refusal.cpp
+++ b/src/requests/refusal.cpp
@@ -33,6 +33,7 @@
     { "stopping", 503, "The host is stopping", true },
     { "host-unreachable", 502, "The coordinating host accepts no connection", true },
     { "host-lost", 502, "The connection to the coordinating host broke", false },
+    { "upstream-replaced", 503, "Another upstream has the address now", true },
 } };
 
 } // namespace
--- a/tests/translation_test.cpp
+++ b/tests/translation_test.cpp
@@ -151,31 +151,37 @@
 BOOST_AUTO_TEST_CASE(onlyAWholeSealedAnswerOfTheRequestItselfPasses)
 {
     const Request request = sampleRequest();
-    BOOST_TEST(std::holds_alternative<Answer>(platform::interpretAnswer(answerFor(request, 200), request)));
+    BOOST_TEST(std::holds_alternative<Answer>(platform::interpretAnswer(answerFor(request, 200), request, "i-1")));
     HttpAnswer it = answerFor(request, 200);
     it.headers.erase("server-seal");
-    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request)) == RefusalReason::upstreamBroken));
+    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request, "i-1")) == RefusalReason::upstreamBroken));
     it = answerFor(request, 200);
     it.headers["request-id"] = "another";
-    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request)) == RefusalReason::upstreamBroken));
+    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request, "i-1")) == RefusalReason::upstreamBroken));
     it = answerFor(request, 200);
     it.headers["content-encoding"] = "gzip";
-    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request)) == RefusalReason::upstreamBroken));
+    BOOST_TEST((reasonOf(platform::interpretAnswer(it, request, "i-1")) == RefusalReason::upstreamBroken));
     it = answerFor(request, 500);
-    BOOST_TEST(std::holds_alternative<Answer>(platform::interpretAnswer(it, request)));
+    BOOST_TEST(std::holds_alternative<Answer>(platform::interpretAnswer(it, request, "i-1")));
 }
 
 BOOST_AUTO_TEST_CASE(notRunIsSaidOnlyWhereTheUpstreamOrTheSocketProvesIt)
 {
     const Request request = sampleRequest();
     const auto ranAfter = [&](HttpOutcome outcome) {
-        return std::get<Refusal>(platform::interpretAnswer(std::move(outcome), request)).ran;
+        return std::get<Refusal>(platform::interpretAnswer(std::move(outcome), request, "i-1")).ran;
     };
     BOOST_TEST((ranAfter(HttpFailure { HttpFault::notSent }) == Ran::no));
     BOOST_TEST((ranAfter(HttpFailure { HttpFault::broken }) == Ran::unknown));
     BOOST_TEST((ranAfter(HttpFailure { HttpFault::timeout }) == Ran::unknown));
     BOOST_TEST((ranAfter(HttpAnswer { 503, { { "not-executed", "1" } }, "" }) == Ran::no));
     BOOST_TEST((ranAfter(HttpAnswer { 421, {}, "" }) == Ran::no));
+    const auto misdirected = [&](const char* instance) {
+        return reasonOf(
+            platform::interpretAnswer(HttpAnswer { 421, { { "instance-id", instance } }, "" }, request, "i-1"));
+    };
+    BOOST_TEST((misdirected("i-1") == RefusalReason::upstreamDisowned));
+    BOOST_TEST((misdirected("i-2") == RefusalReason::upstreamReplaced));
     BOOST_TEST((platform::refusalResponse(notRun(RefusalReason::queueFull, Millis(250))).status == 503));
     BOOST_TEST((platform::refusalResponse(maybeRun(RefusalReason::upstreamShed)).status == 502));
     BOOST_TEST((platform::refusalResponse(maybeRun(RefusalReason::upstreamTimeout)).status == 504));
