--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -49,7 +49,7 @@
 
 PeerHub::Handlers Daemon::peerHandlers()
 {
-    return { [this](const HostName& from, Message message) { onMessage(from, std::move(message)); },
+    return { [this](const HostName& from, LinkId, Message message) { onMessage(from, std::move(message)); },
         [this](const LostLink& lost) { m_entry.onLinkLost(lost); },
         [this](const HostName& host) -> std::optional<Endpoint> {
             const auto* found = findHost(m_node.members, host);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,8 +62,8 @@
 
 PeerHub::Handlers Gateway::peerHandlers()
 {
-    return { [this](const HostName& from, Message message) { onMessage(from, std::move(message)); },
-        [this](const LostLink& lost) { m_door.onLinkLost(lost); },
+    return { [this](const HostName& from, LinkId link, Message message) { onMessage(from, link, std::move(message)); },
+        [this](const LostLink& lost) { onLinkLost(lost); },
         [this](const HostName& host) -> std::optional<Endpoint> {
             const auto it = m_site.directory.hosts().find(host);
             return it == m_site.directory.hosts().end() ? std::nullopt : std::optional(it->second.peers);
@@ -109,16 +109,16 @@
     m_dispatcher.tick();
 }
 
-void Gateway::onMessage(const HostName& from, Message message)
+void Gateway::onMessage(const HostName& from, LinkId link, Message message)
 {
     std::visit(Overloaded {
                    [&](const Hello&) { m_site.unreachableUntil.erase(from); },
-                   [&](Relay& it) { onRelay(from, std::move(it)); },
+                   [&](Relay& it) { onRelay(from, link, std::move(it)); },
                    [&](RelayReply& it) { m_door.onRelayReply(from, std::move(it)); },
                    [&](const RelayCancel& it) {
                        const auto found = m_relayed.find({ from, it.id });
                        if (found != m_relayed.end())
-                           m_dispatcher.cancel(found->second);
+                           m_dispatcher.cancel(found->second.job);
                    },
                    [&](const LoadReport& it) {
                        const auto keeper = m_keepers.find(it.service);
@@ -132,7 +132,7 @@
         message);
 }
 
-void Gateway::onRelay(const HostName& from, Relay relay)
+void Gateway::onRelay(const HostName& from, LinkId link, Relay relay)
 {
     if (m_site.stopping && monotonicNow() >= m_stopAt + kHostNotice) {
         m_site.hub.send(from, RelayReply { relay.id, notRun(RefusalReason::stopping) });
@@ -145,7 +145,20 @@
         m_site.hub.send(key.first, RelayReply { key.second, std::move(reply) });
     });
     if (job)
-        m_relayed[key] = job;
+        m_relayed[key] = { job, link };
+}
+
+// The host at the other end has given up what it sent over the link, so nobody waits for these answers.
+void Gateway::onLinkLost(const LostLink& lost)
+{
+    m_door.onLinkLost(lost);
+    std::vector<Dispatcher::JobId> orphans;
+    for (const auto& [key, relayed] : m_relayed) {
+        if (key.first == lost.host && relayed.link == lost.link)
+            orphans.push_back(relayed.job);
+    }
+    for (const auto job : orphans)
+        m_dispatcher.cancel(job);
 }
 
 void Gateway::onRangeNews(RangeNews news)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,8 +19,15 @@
 
 private:
     PeerHub::Handlers peerHandlers();
-    void onMessage(const HostName& from, Message);
-    void onRelay(const HostName& from, Relay);
+    // A request that another host handed over, and the link that it came on.
+    struct Relayed {
+        Dispatcher::JobId job = 0;
+        LinkId link = 0;
+    };
+
+    void onMessage(const HostName& from, LinkId, Message);
+    void onRelay(const HostName& from, LinkId, Relay);
+    void onLinkLost(const LostLink&);
     void onRangeNews(RangeNews);
     void onDirectoryChange();
     void sendLoads();
@@ -48,7 +55,7 @@
     SignalWatcher m_terminate;
     SignalWatcher m_interrupt;
     SignalWatcher m_hangUp;
-    std::map<std::pair<HostName, std::uint64_t>, Dispatcher::JobId> m_relayed;
+    std::map<std::pair<HostName, std::uint64_t>, Relayed> m_relayed;
 };
 
 } // namespace pistachiospur
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -134,7 +134,7 @@
             m_incoming[link.peer] = &link;
     }
     if (!link.peer.empty())
-        m_handlers.onMessage(link.peer, std::move(*message));
+        m_handlers.onMessage(link.peer, link.id, std::move(*message));
 }
 
 void PeerHub::onClose(Link& link)
--- a/src/peers/hub.h
+++ b/src/peers/hub.h
@@ -23,7 +23,7 @@
 class PeerHub {
 public:
     struct Handlers {
-        std::function<void(const HostName& from, Message)> onMessage;
+        std::function<void(const HostName& from, LinkId, Message)> onMessage;
         std::function<void(const LostLink&)> onLost;
         std::function<std::optional<Endpoint>(const HostName&)> findEndpoint;
     };
