--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -36,7 +36,7 @@
     bool stopping = false;
 
 private:
-    std::function<void(const HostName&, Message)> m_onMessage;
+    std::function<void(const HostName&, LinkId, Message)> m_onMessage;
     std::deque<Message> m_toSelf;
     Timer m_selfTimer;
 };
--- a/src/peers/hub.h
+++ b/src/peers/hub.h
@@ -13,6 +13,8 @@
 namespace pistachiospur {
 
 using LinkId = std::uint64_t;
+// Of messages that a host sends to itself.
+constexpr LinkId kNoLink = 0;
 
 struct LostLink {
     LinkId link = 0;
