Keeper: fewer ranges, and orders in small numbers

Change: quiet ranges go to their neighbours' owners and are joined; at most 24 orders under way, 2 at one upstream.

--- a/src/gateway/keeper.cpp
+++ b/src/gateway/keeper.cpp
@@ -26,8 +26,10 @@
 constexpr double kForgottenLoad = 0.01;
 // Taken for an upstream's run time while nothing was measured.
 constexpr double kFirstRunMs = 170;
-// Ranges are joined when there are more than so many for each owner.
-constexpr std::size_t kRangesPerOwner = 3;
+// Orders under way at once, and of these at one upstream: a keeper that takes over must not crowd out its own loop, nor
+// fill an upstream's few connections.
+constexpr std::size_t kMostOrders = 24;
+constexpr unsigned kMostOrdersEach = 2;
 
 } // namespace
 
@@ -201,14 +203,13 @@
         assign(ranges, it.first, it.last, it.to);
         changed = true;
     }
-    if (changed && ranges.size() > kRangesPerOwner * able.size()) {
-        for (std::size_t n = 1; n < ranges.size(); ++n) {
-            Range &left = ranges[n - 1], &right = ranges[n];
-            const bool joins = left.owner == right.owner && !fixed.count(left.first.value)
-                && !fixed.count(right.first.value) && left.previous.empty() && right.previous.empty();
-            if (joins)
-                left.fence = right.fence = kFenceOfThisWrite;
-        }
+    // Neighbours of one owner become one range under a fence of this write, when there is a write anyway.
+    for (std::size_t n = 1; changed && n < ranges.size(); ++n) {
+        Range &left = ranges[n - 1], &right = ranges[n];
+        const bool joins = left.owner == right.owner && !fixed.count(left.first.value)
+            && !fixed.count(right.first.value) && left.previous.empty() && right.previous.empty();
+        if (joins)
+            left.fence = right.fence = kFenceOfThisWrite;
     }
     joinNeighbours(ranges);
     return ranges;
@@ -356,6 +357,8 @@
     const LifeEntry* owner = m_site.directory.findLife(range.owner);
     if (!owner || owner->entryGone || holding.granting || holding.refused || monotonicNow() < holding.renewAt)
         return;
+    if (m_orders >= kMostOrders || m_ordersAt[range.owner] >= kMostOrdersEach)
+        return;
     grant(range, holding, owner->life);
 }
 
@@ -417,6 +420,8 @@
     const auto& limits = m_site.settings.limits;
     const OrderId order = m_nextOrder++;
     holding.granting = true;
+    ++m_orders;
+    ++m_ordersAt[range.owner];
     recordSent(m_ledger, order, range.owner, range.first, range.last);
     HttpCall call = m_site.dialect.grantCall(life,
         { range.first, range.last, range.fence, Millis(limits.holdMs), holding.confirmed ? "" : holding.handover });
@@ -430,6 +435,9 @@
 {
     const auto& limits = m_site.settings.limits;
     const Millis now = bootNow();
+    --m_orders;
+    if (--m_ordersAt[range.owner] == 0)
+        m_ordersAt.erase(range.owner);
     if (verdict == OrderVerdict::done)
         recordAnswered(m_ledger, order, now, Millis(limits.holdMs));
     else if (verdict == OrderVerdict::unanswered)
--- a/src/gateway/keeper.h
+++ b/src/gateway/keeper.h
@@ -88,6 +88,8 @@
     std::map<Key, Holding> m_holdings;
     GrantLedger m_ledger;
     OrderId m_nextOrder = 1;
+    std::size_t m_orders = 0; // under way
+    std::map<LifeId, unsigned> m_ordersAt;
     Millis m_tookOverAt {};
     bool m_writing = false;
     std::string m_pendingText; // of a write whose outcome is not known
--- a/src/ranges/balance.cpp
+++ b/src/ranges/balance.cpp
@@ -12,6 +12,8 @@
 constexpr double kBaseLoad = 2;
 // A range of an upstream that left is handed out in so many pieces.
 constexpr std::uint32_t kHeirs = 3;
+// A neighbour's owner takes a quiet range only while its utilization stays below this.
+constexpr double kBusyHeir = 0.7;
 
 double loadBetween(const SlotLoads& loads, SlotId first, SlotId last)
 {
@@ -76,11 +78,12 @@
 }
 
 // Hands out a range of an upstream that left, in pieces of about equal load.
-void bequeath(Standings& all, std::vector<Move>& moves, const SlotLoads& loads, const Range& range)
+void bequeath(
+    Standings& all, std::vector<Move>& moves, const SlotLoads& loads, const Range& range, std::uint32_t heirs)
 {
-    const double piece = loadBetween(loads, range.first, range.last) / kHeirs;
+    const double piece = loadBetween(loads, range.first, range.last) / heirs;
     SlotId first = range.first;
-    for (std::uint32_t n = 1; n < kHeirs && first < range.last; ++n) {
+    for (std::uint32_t n = 1; n < heirs && first < range.last; ++n) {
         const SlotId last = slotAtLoad(loads, first, { range.last.value - 1 }, piece);
         giveTo(all, moves, loads, first, last);
         first = last.next();
@@ -114,6 +117,41 @@
     return Move { busiest->first, last, taker.facts.id };
 }
 
+Standing* standingOf(Standings& all, const LifeId& id)
+{
+    const auto it = std::find_if(all.begin(), all.end(), [&](const Standing& n) { return n.facts.id == id; });
+    return it == all.end() ? nullptr : &*it;
+}
+
+// Gives the quietest ranges to the owners of their neighbours, so that they can be joined.
+void absorb(const std::vector<Range>& ranges, Standings& all, std::vector<Move>& moves, const SlotLoads& loads,
+    const std::set<std::uint32_t>& settled, unsigned most)
+{
+    std::vector<std::pair<double, std::size_t>> quiet;
+    for (std::size_t n = 1; n + 1 < ranges.size(); ++n) {
+        if (ranges[n].previous.empty() && !settled.count(ranges[n].first.value))
+            quiet.emplace_back(loadBetween(loads, ranges[n].first, ranges[n].last), n);
+    }
+    std::sort(quiet.begin(), quiet.end());
+    std::set<std::size_t> touched;
+    unsigned absorbed = 0;
+    for (const auto& [load, n] : quiet) {
+        if (absorbed == most)
+            return;
+        Standing* left = standingOf(all, ranges[n - 1].owner);
+        Standing* right = standingOf(all, ranges[n + 1].owner);
+        if (!left || !right || touched.count(n - 1) || touched.count(n) || touched.count(n + 1))
+            continue;
+        Standing& heir = left->utilization() <= right->utilization() ? *left : *right;
+        if (heir.facts.id == ranges[n].owner || heir.utilization() + load / heir.facts.capacity > kBusyHeir)
+            continue;
+        heir.load += load;
+        touched.insert({ n - 1, n, n + 1 });
+        moves.push_back({ ranges[n].first, ranges[n].last, heir.facts.id });
+        ++absorbed;
+    }
+}
+
 } // namespace
 
 std::vector<Range> evenRanges(const std::vector<OwnerFacts>& owners)
@@ -135,11 +173,12 @@
     if (owners.empty())
         return moves;
     Standings all = standingsOf(ranges, owners, loads);
+    const bool many = ranges.size() > policy.rangesPerOwner * owners.size();
     for (const auto& range : ranges) {
         const bool kept = std::any_of(
             owners.begin(), owners.end(), [&](const OwnerFacts& it) { return it.id == range.owner; });
         if (!kept)
-            bequeath(all, moves, loads, range);
+            bequeath(all, moves, loads, range, many ? 1 : kHeirs);
     }
     std::set<std::uint32_t> settled = fixed;
     for (unsigned n = 0; n < policy.mostMoves && moves.size() < policy.mostMoves; ++n) {
@@ -158,6 +197,8 @@
         settled.insert(move->first.value);
         moves.push_back(*move);
     }
+    if (many)
+        absorb(ranges, all, moves, loads, settled, policy.mostMoves);
     return moves;
 }
 
