Keeper: shorter grants, and renewals that outlast an outage of the store

Change: grants of 2.5 s; a keeper without the store goes on renewing for 12 s; a successor asks the writers of the table before it to stop, and waits for those that it cannot account for. Retried grants go on a new connection, so that one to a dead upstream is known not to have arrived.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -103,6 +103,8 @@
                    [](const LoadReport&) {}, // the rest is between hosts of a gateway
                    [](const RangeNews&) {},
                    [](const HostLeaving&) {},
+                   [](const KeeperNews&) {},
+                   [](const KeeperStopped&) {},
                },
         message);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -125,6 +125,16 @@
                        if (keeper != m_keepers.end())
                            keeper->second->onLoadReport(it);
                    },
+                   [&](const KeeperNews& it) {
+                       const auto keeper = m_keepers.find(it.service);
+                       if (keeper != m_keepers.end())
+                           m_site.hub.send(from, keeper->second->onKeeperNews(it));
+                   },
+                   [&](const KeeperStopped& it) {
+                       const auto keeper = m_keepers.find(it.service);
+                       if (keeper != m_keepers.end())
+                           keeper->second->onKeeperStopped(from, it);
+                   },
                    [&](const HostLeaving& it) { m_site.directory.learnLeaving(from, it.incarnation); },
                    [&](RangeNews& it) { onRangeNews(std::move(it)); },
                    [](const auto&) {}, // the rest is between hosts that own upstreams by challenge
--- a/src/gateway/keeper.cpp
+++ b/src/gateway/keeper.cpp
@@ -20,6 +20,9 @@
 // A release that is under way is expected to take so long: one run of the work of today's services.
 constexpr Millis kReleaseEstimate { 200 };
 constexpr Millis kTellInterval { 1000 };
+constexpr Millis kAskInterval { 300 };
+// Ends the name of a table's writer that has given its record up.
+const std::string kResigned = "/resigned";
 // Counts lose this part at each interval, so that loads follow some four seconds.
 constexpr Millis kDecayInterval { 500 };
 constexpr double kDecay = 0.88;
@@ -41,18 +44,122 @@
 
 Keeper::Key Keeper::keyOf(const Range& range) { return { range.first.value, range.last.value, range.fence.value }; }
 
+// The right to change anything ends with the lease.
 bool Keeper::mayOrder() const
 {
     return m_keeping && m_lease == m_site.directory.lease() && bootNow() < m_site.directory.leaseHeldUntil();
 }
 
+// What was granted may be renewed a while longer, so that an outage of the store stops nothing: a successor counts on it
+// until this keeper has told it otherwise.
+bool Keeper::mayRenew() const
+{
+    return m_keeping && m_lease == m_site.directory.lease()
+        && bootNow() < m_site.directory.leaseHeldUntil() + Millis(m_site.settings.limits.outageMs);
+}
+
+Millis Keeper::renewalInterval(std::size_t ranges) const
+{
+    const auto& limits = m_site.settings.limits;
+    const Millis paced(static_cast<std::int64_t>(ranges) * 1000 / limits.ordersPerSecond);
+    return std::max(Millis(limits.renewalIntervalMs), paced);
+}
+
+// The life of grants under a table of so many ranges: several renewals, whatever their pace.
+Millis Keeper::holdFor(std::size_t ranges) const
+{
+    const auto& limits = m_site.settings.limits;
+    const Millis paced = limits.holdMs * renewalInterval(ranges) / limits.renewalIntervalMs;
+    return std::min(Millis(limits.greatestHoldMs), std::max(Millis(limits.holdMs), paced));
+}
+
+std::string Keeper::writerName() const
+{
+    return m_site.settings.host + "#" + std::to_string(m_site.incarnation.value);
+}
+
+// Whether a writer of the table has resigned, or its process is known to have ended.
+bool Keeper::isGone(const std::string& writer) const
+{
+    const auto mark = writer.find('#');
+    if (mark == std::string::npos || writer.find(kResigned) != std::string::npos)
+        return true;
+    const HostName host = writer.substr(0, mark);
+    const auto incarnation = std::strtoull(writer.c_str() + mark + 1, nullptr, 10);
+    if (isSelf(m_site, host))
+        return true;
+    const auto it = m_site.directory.hosts().find(host);
+    return it != m_site.directory.hosts().end() && it->second.incarnation.value > incarnation;
+}
+
+// Until when grants of earlier keepers may be in force. One that cannot be asked is taken to go on for as long as a
+// keeper may without the store.
+Millis Keeper::earlierGrantsEnd() const
+{
+    const auto& limits = m_site.settings.limits;
+    Millis stopped = m_tookOverAt;
+    for (const auto& [writer, stoppedAt] : m_predecessors)
+        stopped = std::max(stopped, stoppedAt.value_or(m_tookOverAt + Millis(limits.outageMs)));
+    return stopped + Millis(limits.orderTimeoutMs) + longestHold(m_earlierHold);
+}
+
+void Keeper::takePredecessors(const RangeTable& table)
+{
+    m_predecessors.clear();
+    m_predecessors[table.writer] = std::nullopt;
+    for (const auto& it : table.earlier)
+        m_predecessors[it] = std::nullopt;
+    m_earlierHold = table.hold;
+}
+
+void Keeper::askPredecessors()
+{
+    const Millis now = monotonicNow();
+    const Millis outage = m_tookOverAt + Millis(m_site.settings.limits.outageMs);
+    const KeeperNews news { m_service, m_site.settings.host, m_site.incarnation, m_lease, m_keeperVersion };
+    const bool ask = now >= m_askAt;
+    if (ask)
+        m_askAt = now + kAskInterval;
+    for (auto& [writer, stoppedAt] : m_predecessors) {
+        if (stoppedAt)
+            continue;
+        if (isGone(writer))
+            stoppedAt = bootNow();
+        else if (bootNow() >= outage)
+            stoppedAt = outage;
+        else if (ask)
+            m_site.hub.send(writer.substr(0, writer.find('#')), news);
+    }
+}
+
+KeeperStopped Keeper::onKeeperNews(const KeeperNews& news)
+{
+    m_site.directory.learnKeeper(news.service, { news.host, news.incarnation, news.lease, news.revision });
+    elect();
+    return { m_service, m_site.incarnation, news.revision };
+}
+
+void Keeper::onKeeperStopped(const HostName& from, const KeeperStopped& stopped)
+{
+    if (!m_keeping || stopped.revision != m_keeperVersion)
+        return;
+    const std::string name = from + "#" + std::to_string(stopped.incarnation.value) + "/";
+    for (auto& [writer, stoppedAt] : m_predecessors) {
+        if (stoppedAt || writer.compare(0, name.size(), name) != 0)
+            continue;
+        stoppedAt = bootNow();
+        logEvent(EventKind::state, "predecessor_stopped", { { "service", m_service }, { "predecessor", writer } });
+    }
+}
+
 void Keeper::tick()
 {
     elect();
-    if (!mayOrder())
+    if (!mayRenew())
         return;
     const Millis now = monotonicNow();
     forgetExpired(m_ledger, bootNow());
+    askPredecessors();
     if (now >= m_decayAt) {
         m_decayAt = now + kDecayInterval;
         for (auto it = m_loads.begin(); it != m_loads.end();) {
@@ -64,7 +171,7 @@
         for (const auto& it : m_table.ranges)
             work(it, m_holdings[keyOf(it)]);
     }
-    if (!m_writing && now >= m_planAt) {
+    if (!m_writing && mayOrder() && now >= m_planAt) {
         m_planAt = now + kPlanInterval;
         plan();
     }
@@ -120,7 +227,6 @@
 // Whatever an earlier keeper ordered can still be in force for as long as a grant lasts that it sent at the last moment.
 void Keeper::onAcquired(StoreRevision version)
 {
-    const auto& limits = m_site.settings.limits;
     m_keeping = true;
     m_keeperVersion = version;
     m_lease = m_site.directory.lease();
@@ -128,12 +234,10 @@
     m_tableKnown = false;
     m_holdings.clear();
     m_ledger = {};
+    m_askAt = Millis(0);
     m_planAt = Millis(0);
     m_toldRevision = {};
-    logEvent(EventKind::state, "keeping",
-        { { "service", m_service }, { "keeper_revision", version.value },
-            { "earlier_grants_end_in_ms",
-                (Millis(limits.orderTimeoutMs) + longestHold(Millis(limits.holdMs))).count() } });
+    logEvent(EventKind::state, "keeping", { { "service", m_service }, { "keeper_revision", version.value } });
 }
 
 void Keeper::stepDown(const char* reason)
@@ -151,9 +255,14 @@
     m_resigned = true;
     if (!m_keeping)
         return onEnd();
-    stepDown("this host stops");
-    const ConditionalWrite write { { { keeperKey(m_service), m_keeperVersion } },
+    ConditionalWrite write { { { keeperKey(m_service), m_keeperVersion } },
         { { keeperKey(m_service), std::nullopt, kNoLease } } };
+    if (m_tableKnown && m_pendingText.empty() && !m_writing) {
+        m_table.writer = writerName() + kResigned;
+        write.expected.push_back({ tableKey(m_service), m_tableRevision });
+        write.puts.push_back({ tableKey(m_service), encode(m_table), kNoLease });
+    }
+    stepDown("this host stops");
     m_site.directory.store().write(write, [onEnd = std::move(onEnd)](const WriteResult&) { onEnd(); });
 }
 
@@ -222,6 +331,7 @@
     if (!m_tableKnown) {
         const StoredTable* stored = m_site.directory.tableOf(m_service);
         m_tableRevision = stored ? stored->revision : StoreRevision {};
+        takePredecessors(stored ? stored->table : RangeTable {});
         std::vector<Range> ranges = stored ? stored->table.ranges : evenRanges(owners());
         if (ranges.empty())
             return;
@@ -242,9 +352,13 @@
     std::string text = m_pendingText;
     if (text.empty()) {
         RangeTable table;
-        table.writer = m_site.settings.host + "#" + std::to_string(m_site.incarnation.value) + "/"
-            + std::to_string(++m_writes);
+        table.writer = writerName() + "/" + std::to_string(++m_writes);
         table.ranges = std::move(ranges);
+        table.hold = std::max({ holdFor(table.ranges.size()), m_table.hold, m_earlierHold });
+        for (const auto& [writer, stoppedAt] : m_predecessors) {
+            if (!stoppedAt)
+                table.earlier.push_back(writer);
+        }
         text = encode(table);
     }
     m_writing = true;
@@ -301,10 +415,9 @@
 // What was known of a range's slots before a write, as far as it still holds.
 Keeper::Holding Keeper::carryOver(const Range& range, bool first) const
 {
-    const auto& limits = m_site.settings.limits;
     Holding holding;
     if (first) {
-        holding.unknownUntil = m_tookOverAt + Millis(limits.orderTimeoutMs) + longestHold(Millis(limits.holdMs));
+        holding.inherited = m_tableRevision.value != 0;
         holding.active = range.previous.empty() && m_tableRevision.value != 0;
         return holding;
     }
@@ -318,7 +431,7 @@
         holding.granting = false;
     }
     holding.active = old->owner == range.owner && known.active;
-    holding.unknownUntil = known.confirmed ? Millis(0) : known.unknownUntil;
+    holding.inherited = known.inherited && !known.confirmed;
     holding.handover = known.handover;
     holding.leavers.clear();
     for (const auto& it : range.previous) {
@@ -369,17 +482,18 @@
     for (const auto& it : range.previous) {
         Leaver& leaver = holding.leavers[it];
         if (!leaver.cleared)
-            all &= clear(range, it, leaver, holding.unknownUntil);
+            all &= clear(range, it, leaver, holding.inherited);
     }
     return all;
 }
 
-bool Keeper::clear(const Range& range, const LifeId& life, Leaver& leaver, Millis unknownUntil)
+bool Keeper::clear(const Range& range, const LifeId& life, Leaver& leaver, bool inherited)
 {
     const auto counted = leaver.released ? Counted::unansweredOnly : Counted::everyGrant;
     const auto until = mayHoldUntil(m_ledger, life, range.first, range.last, counted);
     const bool dead = m_site.directory.isProvenDead(life);
-    if (dead || (until && bootNow() >= std::max(*until, unknownUntil))) {
+    const Millis earlier = inherited ? earlierGrantsEnd() : Millis(0);
+    if (dead || (until && bootNow() >= std::max(*until, earlier))) {
         leaver.cleared = true;
         logEvent(EventKind::state, "range_cleared",
             { { "service", m_service }, { "first", range.first.value }, { "last", range.last.value },
@@ -417,31 +531,32 @@
 
 void Keeper::grant(const Range& range, Holding& holding, const UpstreamLife& life)
 {
-    const auto& limits = m_site.settings.limits;
     const OrderId order = m_nextOrder++;
+    const Millis hold = m_table.hold;
     holding.granting = true;
     ++m_orders;
     ++m_ordersAt[range.owner];
     recordSent(m_ledger, order, range.owner, range.first, range.last);
     HttpCall call = m_site.dialect.grantCall(life,
-        { range.first, range.last, range.fence, Millis(limits.holdMs), holding.confirmed ? "" : holding.handover });
-    call.timeout = Millis(limits.orderTimeoutMs);
-    m_site.http.start(std::move(call), [this, range, order](const HttpOutcome& outcome) {
-        onGrant(range, order, m_site.dialect.interpretGrant(outcome));
+        { range.first, range.last, range.fence, hold, holding.confirmed ? "" : holding.handover });
+    call.timeout = Millis(m_site.settings.limits.orderTimeoutMs);
+    // After a failure a kept connection may be silent; what fails to connect cannot have arrived.
+    call.freshConnection = holding.failed;
+    m_site.http.start(std::move(call), [this, range, order, hold](const HttpOutcome& outcome) {
+        onGrant(range, order, hold, m_site.dialect.interpretGrant(outcome));
     });
 }
 
-void Keeper::onGrant(const Range& range, OrderId order, OrderVerdict verdict)
+void Keeper::onGrant(const Range& range, OrderId order, Millis hold, OrderVerdict verdict)
 {
-    const auto& limits = m_site.settings.limits;
     const Millis now = bootNow();
     --m_orders;
     if (--m_ordersAt[range.owner] == 0)
         m_ordersAt.erase(range.owner);
     if (verdict == OrderVerdict::done)
-        recordAnswered(m_ledger, order, now, Millis(limits.holdMs));
+        recordAnswered(m_ledger, order, now, hold);
     else if (verdict == OrderVerdict::unanswered)
-        recordUnanswered(m_ledger, order, now, Millis(limits.holdMs));
+        recordUnanswered(m_ledger, order, now, hold);
     else
         recordVoid(m_ledger, order);
     m_site.metrics.count(
@@ -454,14 +569,15 @@
     Holding& holding = found->second;
     holding.granting = false;
     holding.renewAt = monotonicNow() + kGrantRetry;
-    if (verdict != OrderVerdict::done) {
+    holding.failed = verdict != OrderVerdict::done;
+    if (holding.failed) {
         holding.refused = verdict == OrderVerdict::outdatedFence;
         logEvent(EventKind::state, "grant_failed",
             { { "service", m_service }, { "upstream", range.owner.name }, { "first", range.first.value },
                 { "fence", range.fence.value }, { "verdict", static_cast<int>(verdict) } });
         return;
     }
-    holding.renewAt = monotonicNow() + Millis(limits.renewalIntervalMs);
+    holding.renewAt = monotonicNow() + renewalInterval(m_table.ranges.size());
     holding.confirmed = true;
     if (!std::exchange(holding.active, true))
         logEvent(EventKind::state, "range_active",
@@ -482,11 +598,12 @@
             continue;
         const LifeEntry* known = m_site.directory.findLife(it);
         const auto until = mayHoldUntil(m_ledger, it, range.first, range.last, Counted::everyGrant);
-        const Millis bound = until.value_or(now + longestHold(Millis(m_site.settings.limits.holdMs)));
+        const Millis bound = until.value_or(now + longestHold(m_table.hold));
         const bool answers = known && !known->entryGone;
         longest = std::max({ longest, kReleaseEstimate, answers ? Millis(0) : bound - now });
     }
-    return std::max(longest, range.previous.empty() ? Millis(0) : holding.unknownUntil - now);
+    const bool inherited = holding.inherited && !range.previous.empty();
+    return std::max(longest, inherited ? earlierGrantsEnd() - now : Millis(0));
 }
 
 void Keeper::tellHosts()
--- a/src/gateway/keeper.h
+++ b/src/gateway/keeper.h
@@ -22,6 +22,9 @@
 
     void tick();
     void onLoadReport(const LoadReport&);
+    // Another host keeps the ranges now: stops ordering before it answers.
+    KeeperStopped onKeeperNews(const KeeperNews&);
+    void onKeeperStopped(const HostName& from, const KeeperStopped&);
     // Gives the record up, so that another host takes over at once.
     void resign(std::function<void()> onEnd);
     bool isKeeping() const { return m_keeping; }
@@ -43,8 +46,9 @@
         bool active = false; // its owner has it, as far as is known
         bool refused = false; // the owner has seen a higher fence
         bool granting = false;
+        bool failed = false; // the last grant
         Millis renewAt {};
-        Millis unknownUntil {}; // until when grants of an earlier keeper may be in force
+        bool inherited = false; // grants of an earlier keeper may be in force
     };
     using Key = std::tuple<std::uint32_t, std::uint32_t, std::uint64_t>; // first, last, fence
 
@@ -54,6 +58,14 @@
     void onAcquired(StoreRevision);
     void stepDown(const char* reason);
     bool mayOrder() const;
+    bool mayRenew() const;
+    Millis renewalInterval(std::size_t ranges) const;
+    Millis holdFor(std::size_t ranges) const;
+    Millis earlierGrantsEnd() const;
+    bool isGone(const std::string& writer) const;
+    std::string writerName() const;
+    void takePredecessors(const RangeTable&);
+    void askPredecessors();
 
     void plan();
     std::vector<OwnerFacts> owners() const;
@@ -65,11 +77,11 @@
 
     void work(const Range&, Holding&);
     bool clear(const Range&, Holding&);
-    bool clear(const Range&, const LifeId&, Leaver&, Millis unknownUntil);
+    bool clear(const Range&, const LifeId&, Leaver&, bool inherited);
     void release(const Range&, Leaver&, const UpstreamLife&);
     void onRelease(const Key&, const LifeId&, const ReleaseResult&);
     void grant(const Range&, Holding&, const UpstreamLife&);
-    void onGrant(const Range&, OrderId, OrderVerdict);
+    void onGrant(const Range&, OrderId, Millis hold, OrderVerdict);
     Millis readyIn(const Range&, const Holding&) const;
     Holding carryOver(const Range&, bool first) const;
     void tellHosts();
@@ -91,6 +103,9 @@
     std::size_t m_orders = 0; // under way
     std::map<LifeId, unsigned> m_ordersAt;
     Millis m_tookOverAt {};
+    std::map<std::string, std::optional<Millis>> m_predecessors; // by writer; since when it certainly orders nothing
+    Millis m_earlierHold {}; // life of their grants
+    Millis m_askAt {};
     bool m_writing = false;
     std::string m_pendingText; // of a write whose outcome is not known
     std::uint64_t m_writes = 0;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -9,10 +9,16 @@
 const std::vector<GatewayOption>& gatewayOptions()
 {
     static const std::vector<GatewayOption> options = {
-        { "hold_ms", &GatewayLimits::holdMs, 5000, 500, 60000, "ms",
+        { "hold_ms", &GatewayLimits::holdMs, 2500, 500, 60000, "ms",
             "life of a grant: how long a lost upstream keeps its slots from others" },
-        { "renewal_interval_ms", &GatewayLimits::renewalIntervalMs, 1200, 100, 20000, "ms",
+        { "greatest_hold_ms", &GatewayLimits::greatestHoldMs, 10000, 500, 60000, "ms",
+            "longest life of a grant that upstreams take; the platform's bound" },
+        { "renewal_interval_ms", &GatewayLimits::renewalIntervalMs, 800, 100, 20000, "ms",
             "time between two grants of a range to its owner" },
+        { "orders_per_second", &GatewayLimits::ordersPerSecond, 120, 1, 100000, "grants",
+            "grants that a keeper sends; with more ranges, interval and life of grants grow alike" },
+        { "outage_ms", &GatewayLimits::outageMs, 12000, 0, 600000, "ms",
+            "how long a keeper without the store goes on renewing what it granted" },
         { "order_timeout_ms", &GatewayLimits::orderTimeoutMs, 500, 50, 5000, "ms",
             "a grant unanswered for so long is given up and its connection reset" },
         { "host_lease_ms", &GatewayLimits::hostLeaseMs, 3000, 500, 60000, "ms",
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -13,8 +13,11 @@
 // Whole-number settings with bounds; one table serves the parser and the operators' page.
 struct GatewayLimits {
     std::int64_t holdMs = 0;
+    std::int64_t greatestHoldMs = 0;
     std::int64_t renewalIntervalMs = 0;
     std::int64_t orderTimeoutMs = 0;
+    std::int64_t ordersPerSecond = 0;
+    std::int64_t outageMs = 0;
     std::int64_t hostLeaseMs = 0;
     std::int64_t storeTimeoutMs = 0;
     std::int64_t drainMs = 0;
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -156,6 +156,8 @@
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(it.timeout.count()));
+    if (it.connectTimeout.count() > 0)
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(it.connectTimeout.count()));
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -23,6 +23,7 @@
     HeaderList headers;
     std::string body;
     Millis timeout { 1000 };
+    Millis connectTimeout {}; // part of the time-out; zero: all of it
     // True: always a new connection. libcurl silently resends a request whose reused connection dies before the first
     // byte of the answer, so anything that must not run twice needs this.
     bool freshConnection = false;
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -97,6 +97,8 @@
 PISTACHIOSPUR_WIRE(LoadReport, std::tie(it.service, it.over, it.counts, it.runs))
 PISTACHIOSPUR_WIRE(RangeNews::Pending, std::tie(it.first, it.last, it.readyIn))
 PISTACHIOSPUR_WIRE(HostLeaving, std::tie(it.incarnation))
+PISTACHIOSPUR_WIRE(KeeperNews, std::tie(it.service, it.host, it.incarnation, it.lease, it.revision))
+PISTACHIOSPUR_WIRE(KeeperStopped, std::tie(it.service, it.incarnation, it.revision))
 PISTACHIOSPUR_WIRE(RangeNews, std::tie(it.service, it.revision, it.table, it.pending))
 
 namespace {
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -3,7 +3,7 @@
 #include "membership/members.h"
 #include "ownership/release.h"
 #include "pistachiospur/request.h"
-#include "store/replica.h"
+#include "store/store.h"
 #include "upstream/life.h"
 #include "requests/quarantine.h"
 
@@ -121,13 +121,29 @@
     std::vector<Pending> pending;
 };
 
+// A host has become the keeper of a service's ranges.
+struct KeeperNews {
+    ServiceName service;
+    HostName host;
+    Incarnation incarnation;
+    LeaseId lease;
+    StoreRevision revision; // of its record
+};
+
+// The answer of a host that does not keep the ranges, or no longer does: it will not order anything under an older record.
+struct KeeperStopped {
+    ServiceName service;
+    Incarnation incarnation; // of the sender
+    StoreRevision revision; // of the record that it has heard of
+};
+
 // The sender stops: it takes no new work.
 struct HostLeaving {
     Incarnation incarnation;
 };
 
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
-    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews, LoadReport, RangeNews, HostLeaving>;
+    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews, LoadReport, RangeNews, HostLeaving, KeeperNews, KeeperStopped>;
 
 std::string encode(const Message&);
 // Nothing when the bytes are not one whole, well-formed message.
--- a/src/ranges/table.cpp
+++ b/src/ranges/table.cpp
@@ -42,7 +42,9 @@
             range["previous"].push_back(encodeLife(life));
         ranges.push_back(std::move(range));
     }
-    return Json { { "writer", table.writer }, { "ranges", ranges } }.dump();
+    return Json { { "writer", table.writer }, { "hold_ms", table.hold.count() }, { "earlier", table.earlier },
+        { "ranges", ranges } }
+        .dump();
 }
 
 // The JSON library reports missing fields and wrong types by exceptions; they end here.
@@ -52,6 +54,8 @@
         const Json document = Json::parse(text);
         RangeTable table;
         table.writer = document.at("writer").get<std::string>();
+        table.hold = Millis(document.at("hold_ms").get<std::int64_t>());
+        table.earlier = document.at("earlier").get<std::vector<std::string>>();
         for (const auto& it : document.at("ranges"))
             table.ranges.push_back(decodeRange(it, revision));
         if (!coversEverySlot(table.ranges))
--- a/src/ranges/table.h
+++ b/src/ranges/table.h
@@ -30,11 +30,13 @@
 
 struct RangeTable {
     std::string writer; // names the keeper's process and the write, so that a lost answer can be settled
+    Millis hold {}; // life of the grants under this table; never shorter than under an earlier one
+    std::vector<std::string> earlier; // writers before that may still be renewing grants
     std::vector<Range> ranges; // in order, without gaps
 
     friend bool operator==(const RangeTable& a, const RangeTable& b)
     {
-        return std::tie(a.writer, a.ranges) == std::tie(b.writer, b.ranges);
+        return std::tie(a.writer, a.hold, a.earlier, a.ranges) == std::tie(b.writer, b.hold, b.earlier, b.ranges);
     }
 };
 
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -70,7 +70,7 @@
 
 RC_BOOST_PROP(aTableSurvivesItsText, ())
 {
-    RangeTable table { "host#1/2", randomRanges(5) };
+    RangeTable table { "host#1/2", Millis(2500), { "host#0/7" }, randomRanges(5) };
     const StoreRevision revision { *rc::gen::inRange<std::uint64_t>(1, 1000000) };
     const auto decoded = decodeRangeTable(encode(table), revision);
     RC_ASSERT(decoded.has_value());
@@ -85,9 +85,9 @@
 {
     BOOST_TEST(!decodeRangeTable("", {}));
     BOOST_TEST(!decodeRangeTable("[]", {}));
-    BOOST_TEST(!decodeRangeTable(R"({"writer":"a","ranges":[]})", {}));
+    BOOST_TEST(!decodeRangeTable(R"({"writer":"a","hold_ms":1,"earlier":[],"ranges":[]})", {}));
     BOOST_TEST(!decodeRangeTable(
-        R"({"writer":"a","ranges":[{"first":0,"last":7,"owner":["u",1],"fence":1}]})", {}));
+        R"({"writer":"a","hold_ms":1,"earlier":[],"ranges":[{"first":0,"last":7,"owner":["u",1],"fence":1}]})", {}));
 }
 
 RC_BOOST_PROP(joiningChangesNoSlot, ())
