--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -6,10 +6,10 @@
 #include "ownership/plan.h"
 #include "ownership/renewer.h"
 #include "peers/messages.h"
-#include "upstream/upstream.h"
 #include "requests/admit.h"
 #include "requests/idempotency.h"
 #include "requests/queue.h"
+#include "upstream/upstream.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -7,8 +7,8 @@
 #include "observe/burn.h"
 #include "observe/metrics.h"
 #include "peers/hub.h"
-#include "store/etcd_store.h"
 #include "requests/quarantine.h"
+#include "store/etcd_store.h"
 #include "view.h"
 
 // The state that the daemon's parts share. Each part changes only what its own header says.
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -29,7 +29,10 @@
 // Upstreams that are gone are remembered so long, for their endpoints: longer than any grant.
 constexpr Millis kLifeMemory { 15000 };
 
-bool beginsWith(const std::string& text, const std::string& prefix) { return text.compare(0, prefix.size(), prefix) == 0; }
+bool beginsWith(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
 
 Json parse(const KeyChange& change) { return change.text ? Json::parse(*change.text, nullptr, false) : Json(); }
 
@@ -38,8 +41,7 @@
 std::string keeperKey(const ServiceName& service) { return kKeeperPrefix + service; }
 std::string tableKey(const ServiceName& service) { return kTablePrefix + service; }
 
-Directory::Directory(
-    const GatewaySettings& settings, const Dialect& dialect, HttpClient& http, Incarnation incarnation)
+Directory::Directory(const GatewaySettings& settings, const Dialect& dialect, HttpClient& http, Incarnation incarnation)
     : m_settings(settings)
     , m_dialect(dialect)
     , m_store(dialect.openStore(http, settings.store, Millis(settings.limits.storeTimeoutMs)))
@@ -91,8 +93,8 @@
     m_onChange();
 }
 
-// After a failure everything is read anew: a watch that goes on from the last revision can wait in silence for a history
-// that is gone, while a read answers as soon as the store does.
+// After a failure everything is read anew: a watch that goes on from the last revision can wait in silence for a
+// history that is gone, while a read answers as soon as the store does.
 void Directory::followChanges()
 {
     m_store->watch(
@@ -175,7 +177,9 @@
                 { { "reason", error.faults.empty() ? "not an object" : describe(error.faults.front()) },
                     { "faults", error.faults.size() }, { "in_force", m_routes ? m_routes->version.value : 0 } });
         },
-        [] { logEvent(EventKind::state, "configuration_refused", { { "reason", "unknown" } }); });
+        [] {
+            logEvent(EventKind::state, "configuration_refused", { { "reason", "unknown" } });
+        });
 }
 
 void Directory::applyUpstream(const UpstreamName& name, const KeyChange& change)
@@ -255,8 +259,8 @@
             logEvent(EventKind::state, "keeper_gone", { { "service", service } });
         return;
     }
-    learnKeeper(
-        service, { record.value("host", ""), { record.value("incarnation", std::uint64_t(0)) },
+    learnKeeper(service,
+        { record.value("host", ""), { record.value("incarnation", std::uint64_t(0)) },
             { record.value("lease", std::uint64_t(0)) }, change.version });
 }
 
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -243,8 +243,8 @@
 void Dispatcher::publishMetrics()
 {
     for (const auto& [name, pool] : m_pools) {
-        m_site.metrics.set("pistachiospur_upstream_waiting", { { "upstream", name } },
-            static_cast<double>(waitingCount(pool.queue)));
+        m_site.metrics.set(
+            "pistachiospur_upstream_waiting", { { "upstream", name } }, static_cast<double>(waitingCount(pool.queue)));
         m_site.metrics.set(
             "pistachiospur_upstream_running", { { "upstream", name } }, static_cast<double>(pool.queue.running));
     }
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -18,8 +18,8 @@
 
     explicit Dispatcher(Site&);
 
-    // Takes a request for an upstream, or with an empty name for any upstream of its service. Sends it at most once. The
-    // callback runs once, perhaps at once.
+    // Takes a request for an upstream, or with an empty name for any upstream of its service. Sends it at most once.
+    // The callback runs once, perhaps at once.
     JobId handle(const UpstreamName&, Request, Callback);
     // Drops a waiting request, and a running one if it is idempotent.
     void cancel(JobId);
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -69,8 +69,8 @@
     if (!route)
         return notRun(RefusalReason::noRoute);
     const Millis now = monotonicNow();
-    auto pending = std::make_unique<Pending>(Pending { {}, route->name, route->maxAttempts, responder, now,
-        State::pausing, 0, 0, 0, {}, 0, 0, nullptr, nullptr });
+    auto pending = std::make_unique<Pending>(Pending {
+        {}, route->name, route->maxAttempts, responder, now, State::pausing, 0, 0, 0, {}, 0, 0, nullptr, nullptr });
     Request& request = pending->request;
     request.id = facts.requestId;
     request.service = chooseService(m_split, *route);
@@ -135,7 +135,8 @@
 void Door::waitForRange(RequestId id, Millis readyIn)
 {
     Pending& pending = *m_pending.at(id);
-    const auto most = Millis(static_cast<std::int64_t>(kRangeWaitShare * static_cast<double>(pending.request.aim.count())));
+    const auto most
+        = Millis(static_cast<std::int64_t>(kRangeWaitShare * static_cast<double>(pending.request.aim.count())));
     const Millis waited = monotonicNow() - pending.receivedAt;
     if (waited + readyIn > most)
         return onReply(id, pending.attempt, notRun(RefusalReason::noOwner, readyIn));
@@ -210,8 +211,8 @@
         ++pending.runs;
     if (tryAgain(pending, *refusal)) {
         m_site.metrics.count("pistachiospur_retries_total", { { "reason", factsOf(refusal->reason).name } });
-        const bool owner = refusal->reason == RefusalReason::upstreamDisowned
-            || refusal->reason == RefusalReason::upstreamReplaced;
+        const bool owner
+            = refusal->reason == RefusalReason::upstreamDisowned || refusal->reason == RefusalReason::upstreamReplaced;
         const bool connect = refusal->reason == RefusalReason::upstreamUnreachable;
         return pauseFor(id, owner ? kOwnerPause : connect ? kConnectPause : Millis(0));
     }
@@ -320,20 +321,17 @@
         line.push_back({ "outcome", factsOf(refusal->reason).name });
         line.push_back({ "ran", ranText(*refusal) });
         line.push_back({ "retry_after_ms", refusal->retryAfter.count() });
-        logEvent(EventKind::request, "request", std::move(line));
+        logEvent(EventKind::request, "request", line);
         return respond(pending->responder, m_site.dialect.refusalResponse(*refusal));
     }
     auto& answer = std::get<Answer>(reply);
     m_site.metrics.observeLatency(request.service, request.rank, static_cast<double>(took.count()) / 1000);
     line.push_back({ "outcome", "answered" });
     line.push_back({ "status", answer.status });
-    logEvent(EventKind::request, "request", std::move(line));
+    logEvent(EventKind::request, "request", line);
     respond(pending->responder, m_site.dialect.answerResponse(std::move(answer)));
 }
 
-std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> Door::takeCounts()
-{
-    return std::exchange(m_counts, {});
-}
+std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> Door::takeCounts() { return std::exchange(m_counts, {}); }
 
 } // namespace pistachiospur
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -282,7 +282,8 @@
     breakLoop();
 }
 
-// The settings of a running gateway hold for its life; a change is checked and told, and takes effect at the next start.
+// The settings of a running gateway hold for its life; a change is checked and told, and takes effect at the next
+// start.
 void Gateway::reload()
 {
     leaf::try_handle_all(
@@ -298,7 +299,9 @@
         [](const FileError& error) {
             logEvent(EventKind::state, "settings_checked", { { "outcome", describe(error) } });
         },
-        [] { logEvent(EventKind::state, "settings_checked", { { "outcome", "unknown failure" } }); });
+        [] {
+            logEvent(EventKind::state, "settings_checked", { { "outcome", "unknown failure" } });
+        });
 }
 
 } // namespace pistachiospur
--- a/src/gateway/keeper.cpp
+++ b/src/gateway/keeper.cpp
@@ -53,13 +53,10 @@
 Keeper::Key Keeper::keyOf(const Range& range) { return { range.first.value, range.last.value, range.fence.value }; }
 
 // The right to change anything ends with the lease.
-bool Keeper::mayOrder() const
-{
-    return m_keeping && bootNow() < m_lease.heldUntil();
-}
+bool Keeper::mayOrder() const { return m_keeping && bootNow() < m_lease.heldUntil(); }
 
-// What was granted may be renewed a while longer, so that an outage of the store stops nothing: a successor counts on it
-// until this keeper has told it otherwise.
+// What was granted may be renewed a while longer, so that an outage of the store stops nothing: a successor counts on
+// it until this keeper has told it otherwise.
 bool Keeper::mayRenew() const
 {
     return m_keeping && bootNow() < m_lease.heldUntil() + Millis(m_site.settings.limits.outageMs);
@@ -80,10 +77,7 @@
     return std::min(Millis(limits.greatestHoldMs), std::max(Millis(limits.holdMs), paced));
 }
 
-std::string Keeper::writerName() const
-{
-    return m_site.settings.host + "#" + std::to_string(m_site.incarnation.value);
-}
+std::string Keeper::writerName() const { return m_site.settings.host + "#" + std::to_string(m_site.incarnation.value); }
 
 // Whether a writer of the table has resigned, or its process is known to have ended.
 bool Keeper::isGone(const std::string& writer) const
@@ -235,16 +229,15 @@
     if (entry && !own)
         return withdraw();
     const LeaseId lease = m_lease.id();
-    const Json record = { { "host", m_site.settings.host }, { "incarnation", m_site.incarnation.value },
-        { "lease", lease.value } };
+    const Json record
+        = { { "host", m_site.settings.host }, { "incarnation", m_site.incarnation.value }, { "lease", lease.value } };
     const ConditionalWrite write { { { keeperKey(m_service), own ? entry->version : StoreRevision {} } },
         { { keeperKey(m_service), record.dump(), lease } } };
     m_site.directory.store().write(write, [this, lease](const WriteResult& result) {
         const auto* written = std::get_if<Written>(&result);
         if (!written)
             return withdraw();
-        m_site.directory.learnKeeper(
-            m_service, { m_site.settings.host, m_site.incarnation, lease, written->revision });
+        m_site.directory.learnKeeper(m_service, { m_site.settings.host, m_site.incarnation, lease, written->revision });
         elect();
     });
 }
@@ -255,7 +248,8 @@
         stepDown("the lease has ended");
 }
 
-// Whatever an earlier keeper ordered can still be in force for as long as a grant lasts that it sent at the last moment.
+// Whatever an earlier keeper ordered can still be in force for as long as a grant lasts that it sent at the last
+// moment.
 void Keeper::onAcquired(StoreRevision version)
 {
     m_keeping = true;
@@ -344,8 +338,7 @@
     const auto able = owners();
     for (const auto& it : planMoves(ranges, able, loads, fixed, {})) {
         logEvent(EventKind::state, "move",
-            { { "service", m_service }, { "first", it.first.value }, { "last", it.last.value },
-                { "to", it.to.name } });
+            { { "service", m_service }, { "first", it.first.value }, { "last", it.last.value }, { "to", it.to.name } });
         assign(ranges, it.first, it.last, it.to);
         changed = true;
     }
@@ -534,7 +527,11 @@
         leaver.cleared = true;
         logEvent(EventKind::state, "range_cleared",
             { { "service", m_service }, { "first", range.first.value }, { "last", range.last.value },
-                { "previous", life.name }, { "how", dead ? "restarted" : leaver.released ? "released" : "expired" } });
+                { "previous", life.name },
+                { "how",
+                    dead                  ? "restarted"
+                        : leaver.released ? "released"
+                                          : "expired" } });
         return true;
     }
     const LifeEntry* known = m_site.directory.findLife(life);
@@ -574,8 +571,8 @@
     ++m_orders;
     ++m_ordersAt[range.owner];
     recordSent(m_ledger, order, range.owner, range.first, range.last);
-    HttpCall call = m_site.dialect.grantCall(life,
-        { range.first, range.last, range.fence, hold, holding.confirmed ? "" : holding.handover });
+    HttpCall call = m_site.dialect.grantCall(
+        life, { range.first, range.last, range.fence, hold, holding.confirmed ? "" : holding.handover });
     call.timeout = Millis(m_site.settings.limits.orderTimeoutMs);
     // After a failure a kept connection may be silent; what fails to connect cannot have arrived.
     call.freshConnection = holding.failed;
@@ -648,7 +645,8 @@
 bool Keeper::isUnreachable(const LifeId& life) const
 {
     const auto it = m_unreachable.find(life);
-    return it != m_unreachable.end() && it->second.failures > 1 && monotonicNow() >= it->second.since + kUnreachableAfter;
+    return it != m_unreachable.end() && it->second.failures > 1
+        && monotonicNow() >= it->second.since + kUnreachableAfter;
 }
 
 // Asks upstreams that lost their ranges to release one of them, which changes nothing but shows whether they answer.
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -21,8 +21,7 @@
             "how long a keeper without the store goes on renewing what it granted" },
         { "order_timeout_ms", &GatewayLimits::orderTimeoutMs, 400, 50, 5000, "ms",
             "a grant unanswered for so long is given up and its connection reset" },
-        { "host_lease_ms", &GatewayLimits::hostLeaseMs, 3000, 500, 60000, "ms",
-            "life of a host's lease in the store" },
+        { "host_lease_ms", &GatewayLimits::hostLeaseMs, 3000, 500, 60000, "ms", "life of a host's lease in the store" },
         { "keeper_lease_ms", &GatewayLimits::keeperLeaseMs, 1200, 500, 60000, "ms",
             "life of a keeper's lease: with an election and a round of grants within hold_ms, so that a lost keeper "
             "leaves no slot without an owner" },
--- a/src/gateway/site.cpp
+++ b/src/gateway/site.cpp
@@ -1,5 +1,6 @@
 #include "site.h"
 
+#include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -38,12 +39,12 @@
             continue;
         if (self && site.stopping)
             continue;
-        const std::string text = host + "/" + name;
-        order.emplace_back(
-            !near.empty() && entry.dataCentre != near, XXH64(text.data(), text.size(), 0), host);
+        const std::string text = absl::StrCat(host, "/", name);
+        order.emplace_back(!near.empty() && entry.dataCentre != near, XXH64(text.data(), text.size(), 0), host);
     }
     std::sort(order.begin(), order.end());
     std::vector<HostName> hosts;
+    hosts.reserve(order.size());
     for (auto& it : order)
         hosts.push_back(std::get<HostName>(std::move(it)));
     return hosts;
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <strings.h>
 #include <sys/socket.h>
@@ -116,7 +117,8 @@
     curl_slist* lines = nullptr;
     bool hasAccept = false, hasType = false;
     for (const auto& [name, value] : call.headers) {
-        lines = curl_slist_append(lines, value.empty() ? (name + ";").c_str() : (name + ": " + value).c_str());
+        lines = curl_slist_append(
+            lines, value.empty() ? absl::StrCat(name, ";").c_str() : absl::StrCat(name, ": ", value).c_str());
         hasAccept |= strcasecmp(name.c_str(), "accept") == 0;
         hasType |= strcasecmp(name.c_str(), "content-type") == 0;
     }
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -280,8 +280,8 @@
     const int fd = listenOn(at);
     m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, Internals::onAccess,
         this, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED, Internals::onCompleted, nullptr,
-        MHD_OPTION_URI_LOG_CALLBACK, Internals::onTarget, nullptr, MHD_OPTION_NOTIFY_CONNECTION, Internals::onConnection, this,
-        MHD_OPTION_CONNECTION_LIMIT, maxConnections, MHD_OPTION_END);
+        MHD_OPTION_URI_LOG_CALLBACK, Internals::onTarget, nullptr, MHD_OPTION_NOTIFY_CONNECTION,
+        Internals::onConnection, this, MHD_OPTION_CONNECTION_LIMIT, maxConnections, MHD_OPTION_END);
     if (!m_daemon)
         throw std::system_error(ENOMEM, std::generic_category(), at.text());
     m_port = boundPort(fd);
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -54,7 +54,7 @@
 
 void startEvents(const std::string& host) { hostName = host; }
 
-void logEvent(EventKind kind, const char* event, std::vector<EventField> fields)
+void logEvent(EventKind kind, const char* event, const std::vector<EventField>& fields)
 {
     Budget& budget = budgets[static_cast<int>(kind)];
     if (!spend(budget)) {
@@ -63,8 +63,8 @@
         return;
     }
     nlohmann::ordered_json line = { { "at", wallNow().count() }, { "host", hostName }, { "event", event } };
-    for (auto& it : fields)
-        line[it.name] = std::move(it.value);
+    for (const auto& it : fields)
+        line[it.name] = it.value;
     if (budget.dropped)
         line["dropped_before"] = budget.dropped;
     const bool written = writeLine(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
--- a/src/observe/events.h
+++ b/src/observe/events.h
@@ -20,7 +20,7 @@
 
 void startEvents(const std::string& host);
 // Writes one line, or counts it as dropped when the budget of its kind is used up.
-void logEvent(EventKind, const char* event, std::vector<EventField>);
+void logEvent(EventKind, const char* event, const std::vector<EventField>&);
 std::uint64_t droppedEvents();
 
 } // namespace pistachiospur
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -3,9 +3,9 @@
 #include "membership/members.h"
 #include "ownership/release.h"
 #include "pistachiospur/request.h"
+#include "requests/quarantine.h"
 #include "store/store.h"
 #include "upstream/life.h"
-#include "requests/quarantine.h"
 
 #include <optional>
 #include <string>
@@ -130,7 +130,8 @@
     StoreRevision revision; // of its record
 };
 
-// The answer of a host that does not keep the ranges, or no longer does: it will not order anything under an older record.
+// The answer of a host that does not keep the ranges, or no longer does: it will not order anything under an older
+// record.
 struct KeeperStopped {
     ServiceName service;
     Incarnation incarnation; // of the sender
@@ -143,7 +144,8 @@
 };
 
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
-    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews, LoadReport, RangeNews, HostLeaving, KeeperNews, KeeperStopped>;
+    StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews, LoadReport,
+    RangeNews, HostLeaving, KeeperNews, KeeperStopped>;
 
 std::string encode(const Message&);
 // Nothing when the bytes are not one whole, well-formed message.
--- a/src/ranges/balance.cpp
+++ b/src/ranges/balance.cpp
@@ -78,8 +78,7 @@
 }
 
 // Hands out a range of an upstream that left, in pieces of about equal load.
-void bequeath(
-    Standings& all, std::vector<Move>& moves, const SlotLoads& loads, const Range& range, std::uint32_t heirs)
+void bequeath(Standings& all, std::vector<Move>& moves, const SlotLoads& loads, const Range& range, std::uint32_t heirs)
 {
     const double piece = loadBetween(loads, range.first, range.last) / heirs;
     SlotId first = range.first;
@@ -175,8 +174,8 @@
     Standings all = standingsOf(ranges, owners, loads);
     const bool many = ranges.size() > policy.rangesPerOwner * owners.size();
     for (const auto& range : ranges) {
-        const bool kept = std::any_of(
-            owners.begin(), owners.end(), [&](const OwnerFacts& it) { return it.id == range.owner; });
+        const bool kept
+            = std::any_of(owners.begin(), owners.end(), [&](const OwnerFacts& it) { return it.id == range.owner; });
         if (!kept)
             bequeath(all, moves, loads, range, many ? 1 : kHeirs);
     }
--- a/src/ranges/table.cpp
+++ b/src/ranges/table.cpp
@@ -42,9 +42,10 @@
             range["previous"].push_back(encodeLife(life));
         ranges.push_back(std::move(range));
     }
-    return Json { { "writer", table.writer }, { "hold_ms", table.hold.count() }, { "earlier", table.earlier },
-        { "ranges", ranges } }
-        .dump();
+    return Json {
+        { "writer", table.writer }, { "hold_ms", table.hold.count() }, { "earlier", table.earlier },
+        { "ranges", ranges }
+    }.dump();
 }
 
 // The JSON library reports missing fields and wrong types by exceptions; they end here.
@@ -89,8 +90,8 @@
 // Makes a range begin at a slot.
 void splitAt(std::vector<Range>& ranges, SlotId slot)
 {
-    const auto it = std::find_if(
-        ranges.begin(), ranges.end(), [&](const Range& n) { return n.first < slot && slot <= n.last; });
+    const auto it
+        = std::find_if(ranges.begin(), ranges.end(), [&](const Range& n) { return n.first < slot && slot <= n.last; });
     if (it == ranges.end())
         return;
     Range right = *it;
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-// The operator's configuration of a site whose upstreams take ranges of slots: virtual hosts with routes by path prefix,
-// services, and what callers may send. One version of it is in force as a whole.
+// The operator's configuration of a site whose upstreams take ranges of slots: virtual hosts with routes by path
+// prefix, services, and what callers may send. One version of it is in force as a whole.
 namespace pistachiospur {
 
 using ConfigVersion = Strong<struct ConfigVersionTag, std::uint64_t>;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -66,9 +66,9 @@
     LeaseId lease;
     Millis life {}; // counts from the arrival of each renewal at the store
 };
-struct LeaseRenewed {};
+struct LeaseRenewed { };
 // The lease has ended and its keys are gone.
-struct LeaseGone {};
+struct LeaseGone { };
 
 using LeaseOpenResult = std::variant<LeaseOpened, StoreError>;
 using LeaseRenewalResult = std::variant<LeaseRenewed, LeaseGone, StoreError>;
--- a/src/upstream/life.h
+++ b/src/upstream/life.h
@@ -2,8 +2,8 @@
 
 #include "pistachiospur/types.h"
 
-// Upstreams that announce themselves in the store, as lives: each start of an upstream is a new one, even under the name
-// that it had before.
+// Upstreams that announce themselves in the store, as lives: each start of an upstream is a new one, even under the
+// name that it had before.
 namespace pistachiospur {
 
 // Unix time in ms of an upstream's start.
@@ -15,7 +15,10 @@
 
     friend bool operator==(const LifeId& a, const LifeId& b) { return a.born == b.born && a.name == b.name; }
     friend bool operator!=(const LifeId& a, const LifeId& b) { return !(a == b); }
-    friend bool operator<(const LifeId& a, const LifeId& b) { return std::tie(a.name, a.born) < std::tie(b.name, b.born); }
+    friend bool operator<(const LifeId& a, const LifeId& b)
+    {
+        return std::tie(a.name, a.born) < std::tie(b.name, b.born);
+    }
 };
 
 struct UpstreamLife {
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -15,6 +15,7 @@
 std::vector<OwnerFacts> ownersUpTo(int n)
 {
     std::vector<OwnerFacts> owners;
+    owners.reserve(static_cast<std::size_t>(n));
     for (int it = 0; it < n; ++it)
         owners.push_back({ life(it), 10 });
     return owners;
@@ -156,7 +157,8 @@
     BOOST_TEST((mayHoldUntil(ledger, life(1), { 0 }, { 9 }, Counted::unansweredOnly) == Millis(0)));
     recordSent(ledger, 2, life(1), { 5 }, { 20 });
     recordUnanswered(ledger, 2, Millis(2000), hold);
-    BOOST_TEST((mayHoldUntil(ledger, life(1), { 9 }, { 9 }, Counted::unansweredOnly) == Millis(2000) + longestHold(hold)));
+    BOOST_TEST(
+        (mayHoldUntil(ledger, life(1), { 9 }, { 9 }, Counted::unansweredOnly) == Millis(2000) + longestHold(hold)));
     BOOST_TEST((mayHoldUntil(ledger, life(1), { 50 }, { 60 }, Counted::unansweredOnly) == Millis(0)));
     BOOST_TEST((mayHoldUntil(ledger, life(2), { 9 }, { 9 }, Counted::everyGrant) == Millis(0)));
 }
