--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,7 +70,7 @@
         } };
 }
 
-int Gateway::run()
+void Gateway::start()
 {
     const auto& settings = m_site.settings;
     startEvents(settings.host);
@@ -80,6 +80,11 @@
     m_site.directory.start([this] { onDirectoryChange(); });
     m_tickTimer.every(kTick);
     m_loadTimer.every(kLoadInterval);
+}
+
+int Gateway::run()
+{
+    start();
     runLoop();
     return 0;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,9 @@
     // Throws std::system_error when an address cannot be bound.
     Gateway(const GatewaySettings&, std::string settingsPath, const Dialect&);
 
+    // Begins to work on the loop, which someone else runs.
+    void start();
+    // Works until it is stopped.
     int run();
 
 private:
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -17,6 +17,8 @@
 
 // The shortest that libmicrohttpd can count.
 constexpr Millis kIdleTimeWhileStopping { 1000 };
+// What callers get whose requests are open when the server goes.
+constexpr int kStopping = 502;
 
 } // namespace
 
@@ -39,6 +41,7 @@
     void suspend()
     {
         suspended = true;
+        server->m_suspended.insert(this);
         MHD_suspend_connection(connection);
         if (gone)
             closeWatcher.watch(fd, EV_READ);
@@ -62,6 +65,7 @@
         if (!connection || !server || !suspended)
             return;
         suspended = false;
+        server->m_suspended.erase(this);
         closeWatcher.stop();
         MHD_resume_connection(connection);
         server->schedule();
@@ -291,6 +295,14 @@
 HttpServer::~HttpServer()
 {
     m_watcher.stop();
+    // libmicrohttpd stops only when no connection is suspended.
+    for (auto* it : std::set<HttpExchange*>(m_suspended)) {
+        it->gone = nullptr;
+        it->finished = it->answered = true;
+        it->response.status = kStopping;
+        it->resume();
+    }
+    MHD_run(m_daemon);
     MHD_stop_daemon(m_daemon);
 }
 
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -85,6 +85,7 @@
     MHD_Daemon* m_daemon = nullptr;
     std::uint16_t m_port = 0;
     std::set<MHD_Connection*> m_connections;
+    std::set<HttpExchange*> m_suspended;
     Millis m_idleTimeout {}; // zero: none
     bool m_runAgain = false; // a connection was resumed since the last run began
     std::size_t m_maxBodyBytes;
