Store: one host of each data centre watches it for the others

Tables went whole to every host at each change. Change: the first host of a data centre watches and passes on what it sees, with a beat while its watch is alive; one that hears nothing for 650 ms reads the store itself. A keeper tells the ranges that changed. The first table waits until no more upstreams appear; large sites make more moves in a plan.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -105,6 +105,7 @@
                    [](const HostLeaving&) {},
                    [](const KeeperNews&) {},
                    [](const KeeperStopped&) {},
+                   [](const FeedBatch&) {},
                },
         message);
 }
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -40,13 +40,17 @@
 
 std::string keeperKey(const ServiceName& service) { return kKeeperPrefix + service; }
 std::string tableKey(const ServiceName& service) { return kTablePrefix + service; }
+bool isTableKey(const std::string& key) { return beginsWith(key, kTablePrefix); }
 
 Directory::Directory(const GatewaySettings& settings, const Dialect& dialect, HttpClient& http, Incarnation incarnation)
     : m_settings(settings)
     , m_dialect(dialect)
     , m_store(dialect.openStore(http, settings.store, Millis(settings.limits.storeTimeoutMs)))
     , m_incarnation(incarnation)
-    , m_retryTimer([this] { readAll(); })
+    , m_retryTimer([this] {
+        if (m_watching || m_revision.value == 0)
+            readAll();
+    })
     , m_lease(*m_store, Millis(settings.limits.hostLeaseMs),
           { [this] { enterHost(); },
               [this] {
@@ -66,12 +70,15 @@
 
 void Directory::readAll()
 {
+    if (std::exchange(m_reading, true))
+        return;
     m_store->read("", [this](ReadResult result) { onRead(std::move(result)); });
 }
 
 // What is missing from a whole read was removed while this host was not looking.
 void Directory::onRead(ReadResult result)
 {
+    m_reading = false;
     if (const auto* error = std::get_if<StoreError>(&result)) {
         onStoreFailure("read", *error);
         m_retryTimer.once(kStorePause);
@@ -87,9 +94,14 @@
         changes.push_back({ key, std::move(value.text), value.version });
     for (const auto& it : changes)
         apply(it);
-    m_revision = std::max(m_revision, snapshot.revision);
+    const StoreRevision before = std::exchange(m_revision, std::max(m_revision, snapshot.revision));
     onStoreAnswer();
-    followChanges();
+    if (m_watching) {
+        m_watchAnsweredAt = monotonicNow();
+        if (m_onSeen)
+            m_onSeen({ before, m_revision, std::move(changes) });
+        followChanges();
+    }
     m_onChange();
 }
 
@@ -100,6 +112,8 @@
     m_store->watch(
         m_revision, [this](const ChangeBatch& batch) { onBatch(batch); },
         [this](const StoreError& error) {
+            if (!m_watching)
+                return;
             if (error.historyLost) {
                 logEvent(EventKind::state, "store_history_lost", { { "after", m_revision.value } });
                 readAll();
@@ -110,9 +124,48 @@
         });
 }
 
+void Directory::setWatching(bool watching)
+{
+    if (std::exchange(m_watching, watching) == watching)
+        return;
+    logEvent(EventKind::state, watching ? "watching_store" : "following_another_host", {});
+    if (!watching)
+        m_store->stopWatch();
+    else
+        readAll();
+}
+
+void Directory::follow(const ChangeBatch& batch)
+{
+    if (m_watching)
+        return;
+    if (m_revision < batch.from)
+        return readAll();
+    if (batch.to < m_revision || (batch.to == m_revision && batch.changes.empty()))
+        return;
+    for (const auto& it : batch.changes)
+        apply(it);
+    m_revision = batch.to;
+    m_onChange();
+}
+
+void Directory::readTable(const ServiceName& service)
+{
+    m_store->read(tableKey(service), [this](ReadResult result) {
+        if (const auto* error = std::get_if<StoreError>(&result))
+            return onStoreFailure("table", *error);
+        for (auto& [key, value] : std::get<Snapshot>(result).values)
+            apply({ key, std::move(value.text), value.version });
+        m_onChange();
+    });
+}
+
 void Directory::onBatch(const ChangeBatch& batch)
 {
     onStoreAnswer();
+    m_watchAnsweredAt = monotonicNow();
+    if (m_onSeen && !batch.changes.empty())
+        m_onSeen(batch);
     for (const auto& it : batch.changes)
         apply(it);
     m_revision = std::max(m_revision, batch.to);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -43,6 +43,7 @@
 
 std::string keeperKey(const ServiceName&);
 std::string tableKey(const ServiceName&);
+bool isTableKey(const std::string& key);
 
 class Directory {
 public:
@@ -52,6 +53,15 @@
     void start(std::function<void()> onChange);
     // Drops entries whose time of grace is over.
     void tick();
+    // Whether this host watches the store itself, or takes what another one has seen.
+    void setWatching(bool watching);
+    // What the watch brings, for hosts that follow this one.
+    void onSeen(std::function<void(const ChangeBatch&)> callback) { m_onSeen = std::move(callback); }
+    // Takes a batch of the host that watches; reads the store when something before it is missing.
+    void follow(const ChangeBatch&);
+    void readTable(const ServiceName&);
+    // When the watch last had an answer of the store, on the monotonic clock.
+    Millis watchAnsweredAt() const { return m_watchAnsweredAt; }
     // Announces that this host leaves, or ends its lease.
     void announceLeaving();
     void endLease(std::function<void()> onEnd);
@@ -63,6 +73,7 @@
     const StoredTable* tableOf(const ServiceName&) const;
     // Takes a table that the keeper sent, if it is newer.
     void learnTable(const ServiceName&, StoredTable);
+    const std::map<ServiceName, StoredTable>& tables() const { return m_tables; }
     // Takes a host's own word that it stops; its entry in the store may say so later, or never.
     void learnLeaving(const HostName&, Incarnation);
     // Takes what this host wrote itself.
@@ -103,6 +114,10 @@
     std::unique_ptr<LeasedStore> m_store;
     Incarnation m_incarnation;
     std::function<void()> m_onChange;
+    std::function<void(const ChangeBatch&)> m_onSeen;
+    bool m_watching = true;
+    bool m_reading = false;
+    Millis m_watchAnsweredAt { -100000 };
 
     std::optional<RoutingTable> m_routes;
     StoreRevision m_configurationRevision;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,7 @@
 Gateway::Gateway(const GatewaySettings& settings, std::string settingsPath, const Dialect& dialect)
     : m_settingsPath(std::move(settingsPath))
     , m_site(settings, dialect, peerHandlers())
+    , m_watcher(m_site)
     , m_dispatcher(m_site)
     , m_door(m_site, m_dispatcher)
     , m_callerServer(settings.callers, kCallerBody,
@@ -109,6 +110,7 @@
 void Gateway::tick()
 {
     m_site.directory.tick();
+    m_watcher.tick();
     for (auto& [name, keeper] : m_keepers)
         keeper->tick();
     m_dispatcher.tick();
@@ -140,6 +142,7 @@
                        if (keeper != m_keepers.end())
                            keeper->second->onKeeperStopped(from, it);
                    },
+                   [&](const FeedBatch& it) { m_watcher.onBatch(from, it); },
                    [&](const HostLeaving& it) { m_site.directory.learnLeaving(from, it.incarnation); },
                    [&](RangeNews& it) { onRangeNews(std::move(it)); },
                    [](const auto&) {}, // the rest is between hosts that own upstreams by challenge
@@ -181,9 +184,12 @@
     auto& pending = m_site.pending[news.service];
     if (news.revision < pending.revision)
         return;
-    if (!news.table.empty()) {
-        if (auto table = decodeRangeTable(news.table, news.revision))
-            m_site.directory.learnTable(news.service, { std::move(*table), news.revision });
+    const StoredTable* known = m_site.directory.tableOf(news.service);
+    if (known && known->revision == news.base && known->revision < news.revision) {
+        StoredTable next { known->table, news.revision };
+        overlay(next.table.ranges, news.changed);
+        if (coversEverySlot(next.table.ranges))
+            m_site.directory.learnTable(news.service, std::move(next));
     }
     pending = { news.revision, std::move(news.pending), monotonicNow() };
     m_door.refresh();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "door.h"
 #include "keeper.h"
+#include "watcher.h"
 
 #include <map>
 #include <memory>
@@ -43,6 +44,7 @@
 
     std::string m_settingsPath;
     Site m_site;
+    Watcher m_watcher;
     Dispatcher m_dispatcher;
     Door m_door;
     std::map<ServiceName, std::unique_ptr<Keeper>> m_keepers;
--- a/src/gateway/keeper.cpp
+++ b/src/gateway/keeper.cpp
@@ -17,6 +17,9 @@
 constexpr Millis kElectionStep { 200 };
 constexpr Millis kGrantRetry { 200 };
 constexpr Millis kReleaseRetry { 200 };
+constexpr Millis kFirstOwnersSettle { 1000 };
+// A plan may make one move for so many owners, so that large sites come to balance as fast as small ones.
+constexpr std::size_t kOwnersPerMove = 10;
 // A release that is under way is expected to take so long: one run of the work of today's services.
 constexpr Millis kReleaseEstimate { 200 };
 constexpr Millis kTellInterval { 1000 };
@@ -262,6 +265,7 @@
     m_askAt = Millis(0);
     m_planAt = Millis(0);
     m_toldRevision = {};
+    m_toldRanges.clear();
     logEvent(EventKind::state, "keeping", { { "service", m_service }, { "keeper_revision", version.value } });
 }
 
@@ -336,7 +340,9 @@
     for (auto& [slot, load] : loads)
         load *= perCount;
     const auto able = owners();
-    for (const auto& it : planMoves(ranges, able, loads, fixed, {})) {
+    BalancePolicy policy;
+    policy.mostMoves = std::max(policy.mostMoves, static_cast<unsigned>(able.size() / kOwnersPerMove));
+    for (const auto& it : planMoves(ranges, able, loads, fixed, policy)) {
         logEvent(EventKind::state, "move",
             { { "service", m_service }, { "first", it.first.value }, { "last", it.last.value }, { "to", it.to.name } });
         assign(ranges, it.first, it.last, it.to);
@@ -354,6 +360,18 @@
     return ranges;
 }
 
+// Even runs for all upstreams, once no more of them appear: upstreams start together with the site.
+std::vector<Range> Keeper::firstRanges()
+{
+    const auto able = owners();
+    const Millis now = monotonicNow();
+    if (able.size() != m_firstOwners) {
+        m_firstOwners = able.size();
+        m_firstOwnersAt = now;
+    }
+    return now < m_firstOwnersAt + kFirstOwnersSettle ? std::vector<Range>() : evenRanges(able);
+}
+
 void Keeper::plan()
 {
     if (!m_pendingText.empty())
@@ -362,7 +380,9 @@
         const StoredTable* stored = m_site.directory.tableOf(m_service);
         m_tableRevision = stored ? stored->revision : StoreRevision {};
         takePredecessors(stored ? stored->table : RangeTable {});
-        std::vector<Range> ranges = stored ? stored->table.ranges : evenRanges(owners());
+        m_toldRanges = stored ? stored->table.ranges : std::vector<Range>();
+        m_toldRevision = m_tableRevision;
+        std::vector<Range> ranges = stored ? stored->table.ranges : firstRanges();
         if (ranges.empty())
             return;
         for (auto& it : ranges)
@@ -715,7 +735,7 @@
 {
     if (!m_tableKnown)
         return;
-    RangeNews news { m_service, m_tableRevision, {}, {} };
+    RangeNews news { m_service, m_tableRevision, m_tableRevision, {}, {} };
     bool same = m_toldRevision == m_tableRevision;
     for (const auto& it : m_table.ranges) {
         const Holding& holding = m_holdings[keyOf(it)];
@@ -728,8 +748,11 @@
     const Millis now = monotonicNow();
     if (same && (news.pending.empty() || now < m_tellAt))
         return;
-    if (m_toldRevision != m_tableRevision)
-        news.table = encode(m_table);
+    if (m_toldRevision != m_tableRevision) {
+        news.base = m_toldRevision;
+        news.changed = changedRanges(m_toldRanges, m_table.ranges);
+        m_toldRanges = m_table.ranges;
+    }
     m_toldRevision = m_tableRevision;
     m_told = news.pending;
     m_tellAt = now + kTellInterval;
--- a/src/gateway/keeper.h
+++ b/src/gateway/keeper.h
@@ -79,6 +79,7 @@
 
     void plan();
     std::vector<OwnerFacts> owners() const;
+    std::vector<Range> firstRanges();
     std::vector<Range> nextRanges(bool& changed);
     void write(std::vector<Range>);
     void onWritten(const std::string& text, const WriteResult&);
@@ -126,9 +127,12 @@
     std::string m_pendingText; // of a write whose outcome is not known
     std::uint64_t m_writes = 0;
     Millis m_planAt {};
+    std::size_t m_firstOwners = 0;
+    Millis m_firstOwnersAt {};
     Millis m_tellAt {};
     std::vector<RangeNews::Pending> m_told;
     StoreRevision m_toldRevision;
+    std::vector<Range> m_toldRanges; // at that revision
 
     SlotLoads m_loads;
     std::map<LifeId, double> m_runMs;
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -99,7 +99,9 @@
 PISTACHIOSPUR_WIRE(HostLeaving, std::tie(it.incarnation))
 PISTACHIOSPUR_WIRE(KeeperNews, std::tie(it.service, it.host, it.incarnation, it.lease, it.revision))
 PISTACHIOSPUR_WIRE(KeeperStopped, std::tie(it.service, it.incarnation, it.revision))
-PISTACHIOSPUR_WIRE(RangeNews, std::tie(it.service, it.revision, it.table, it.pending))
+PISTACHIOSPUR_WIRE(Range, std::tie(it.first, it.last, it.owner, it.fence, it.previous))
+PISTACHIOSPUR_WIRE(RangeNews, std::tie(it.service, it.revision, it.base, it.changed, it.pending))
+PISTACHIOSPUR_WIRE(FeedBatch, std::tie(it.batch, it.tables))
 
 namespace {
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -3,9 +3,9 @@
 #include "membership/members.h"
 #include "ownership/release.h"
 #include "pistachiospur/request.h"
+#include "ranges/table.h"
 #include "requests/quarantine.h"
 #include "store/store.h"
-#include "upstream/life.h"
 
 #include <optional>
 #include <string>
@@ -117,10 +117,18 @@
     };
     ServiceName service;
     StoreRevision revision;
-    std::string table; // empty when it was sent before
+    StoreRevision base; // of the table that the changes apply to; the revision itself when there are none
+    std::vector<Range> changed;
     std::vector<Pending> pending;
 };
 
+// What the host of a data centre that watches the store for the others has seen. Without changes it only shows that the
+// watch is alive. Tables of ranges are left out, since keepers tell them; their revisions show who missed one.
+struct FeedBatch {
+    ChangeBatch batch;
+    std::vector<std::pair<ServiceName, StoreRevision>> tables;
+};
+
 // A host has become the keeper of a service's ranges.
 struct KeeperNews {
     ServiceName service;
@@ -145,7 +153,7 @@
 
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
     StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListNews, LoadReport,
-    RangeNews, HostLeaving, KeeperNews, KeeperStopped>;
+    RangeNews, HostLeaving, KeeperNews, KeeperStopped, FeedBatch>;
 
 std::string encode(const Message&);
 // Nothing when the bytes are not one whole, well-formed message.
--- a/src/ranges/table.cpp
+++ b/src/ranges/table.cpp
@@ -117,6 +117,32 @@
     }
 }
 
+std::vector<Range> changedRanges(const std::vector<Range>& before, const std::vector<Range>& now)
+{
+    std::vector<Range> changed;
+    auto old = before.begin();
+    for (const auto& it : now) {
+        while (old != before.end() && old->first < it.first)
+            ++old;
+        if (old == before.end() || !(*old == it))
+            changed.push_back(it);
+    }
+    return changed;
+}
+
+void overlay(std::vector<Range>& ranges, const std::vector<Range>& changed)
+{
+    for (const auto& it : changed) {
+        splitAt(ranges, it.first);
+        if (it.last.value + 1 < kKeySlots)
+            splitAt(ranges, { it.last.value + 1 });
+        const auto covered = [&](const Range& n) { return it.first <= n.first && n.last <= it.last; };
+        const auto at = std::find_if(ranges.begin(), ranges.end(), covered);
+        const auto end = std::find_if_not(at, ranges.end(), covered);
+        ranges.insert(ranges.erase(at, end), it);
+    }
+}
+
 void joinNeighbours(std::vector<Range>& ranges)
 {
     std::vector<Range> joined;
--- a/src/ranges/table.h
+++ b/src/ranges/table.h
@@ -55,6 +55,10 @@
 // Gives the slots from `first` to `last` to a new owner under a fence of this write. Ranges are split where the run
 // begins or ends inside them; the owner before joins `previous`.
 void assign(std::vector<Range>&, SlotId first, SlotId last, const LifeId& owner);
+// The ranges of a table that stand in it otherwise than in an earlier one.
+std::vector<Range> changedRanges(const std::vector<Range>& before, const std::vector<Range>& now);
+// Puts changed ranges in the place of what they cover; the reverse of the above.
+void overlay(std::vector<Range>&, const std::vector<Range>& changed);
 // Joins neighbours that differ in nothing but their slots.
 void joinNeighbours(std::vector<Range>&);
 
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -91,6 +91,21 @@
         R"({"writer":"a","hold_ms":1,"earlier":[],"ranges":[{"first":0,"last":7,"owner":["u",1],"fence":1}]})", {}));
 }
 
+RC_BOOST_PROP(changesTurnTheEarlierTableIntoTheLater, ())
+{
+    const auto before = randomRanges(5);
+    auto now = before;
+    for (int n = *rc::gen::inRange(0, 4); n > 0; --n) {
+        const auto a = *rc::gen::inRange(0u, kKeySlots), b = *rc::gen::inRange(0u, kKeySlots);
+        assign(now, { std::min(a, b) }, { std::max(a, b) }, life(*rc::gen::inRange(0, 9)));
+    }
+    if (*rc::gen::arbitrary<bool>())
+        joinNeighbours(now);
+    auto rebuilt = before;
+    overlay(rebuilt, changedRanges(before, now));
+    RC_ASSERT(rebuilt == now);
+}
+
 RC_BOOST_PROP(joiningChangesNoSlot, ())
 {
     const auto before = randomRanges(4);
