Pools: one queue for a group of eight upstreams; hosts take work by their processors

Change: a pooled service's upstreams form groups of about eight, each with a coordinator of its own; rendezvous weighs hosts by the share of a processor that their settings name.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -26,6 +26,7 @@
 constexpr Millis kTroubleMemory { 4000 };
 // A host whose entry is gone stays in use so long while its links answer.
 constexpr Millis kHostGrace { 2500 };
+constexpr double kLeastWeight = 0.01;
 // Upstreams that are gone are remembered so long, for their endpoints: longer than any grant.
 constexpr Millis kLifeMemory { 15000 };
 
@@ -296,6 +297,7 @@
     entry.dataCentre = record.value("data_centre", "");
     entry.peers = { record.value("address", ""), record.value("port", std::uint16_t(0)) };
     entry.incarnation = { record.value("incarnation", std::uint64_t(0)) };
+    entry.weight = std::max(kLeastWeight, record.value("weight", 1.0));
     entry.leaving = record.value("leaving", false);
     const auto known = m_hosts.find(name);
     entry.leaving |= known != m_hosts.end() && known->second.leaving && known->second.incarnation == entry.incarnation;
@@ -426,7 +428,8 @@
     if (m_lease.id() == kNoLease)
         return;
     const Json record = { { "data_centre", m_settings.dataCentre }, { "address", m_settings.peers.address },
-        { "port", m_settings.peers.port }, { "incarnation", m_incarnation.value }, { "leaving", m_leaving } };
+        { "port", m_settings.peers.port }, { "incarnation", m_incarnation.value },
+        { "weight", static_cast<double>(m_settings.processorPercent) / 100 }, { "leaving", m_leaving } };
     const ConditionalWrite write { {}, { { kHostPrefix + m_settings.host, record.dump(), m_lease.id() } } };
     m_entering = true;
     m_store->write(write, [this](const WriteResult& result) {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -18,6 +18,7 @@
     DataCentreName dataCentre;
     Endpoint peers;
     Incarnation incarnation;
+    double weight = 1; // share of work, by its processor
     bool leaving = false;
     std::optional<Millis> lostAt; // its entry is gone since
 };
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -47,8 +47,15 @@
 
 bool Dispatcher::mayUse(const Pool& pool, const LifeEntry& entry, Millis now) const
 {
-    const bool member = pool.only.empty() ? entry.life.service == pool.service : entry.life.id.name == pool.only;
-    return member && mayTakeWork(entry, now);
+    if (entry.life.service != pool.service || !mayTakeWork(entry, now))
+        return false;
+    if (entry.life.id.name == pool.only)
+        return true;
+    const auto groups = m_site.groups.find(pool.service);
+    if (groups == m_site.groups.end())
+        return false;
+    const auto group = groups->second.groupOf.find(entry.life.id.name);
+    return group != groups->second.groupOf.end() && groupName(group->second) == pool.only;
 }
 
 // The slots of a pool are those of the upstreams that may take work now.
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -8,7 +8,7 @@
 #include <unordered_map>
 
 // Sends requests to the upstreams that this host coordinates: one queue for each upstream of a keyed service, one for
-// all upstreams of a pooled one, so that the most urgent request takes the next free slot.
+// each group of a pooled one, so that the most urgent request takes the next free slot.
 namespace pistachiospur {
 
 class Dispatcher {
@@ -47,7 +47,7 @@
     };
     struct Pool {
         ServiceName service;
-        UpstreamName only; // empty: any of the service
+        UpstreamName only; // or a group of the service
         UpstreamQueue queue;
         QueuePolicy policy;
         std::unordered_map<JobId, Job> jobs;
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -36,6 +36,7 @@
 Door::Door(Site& site, Dispatcher& dispatcher)
     : m_site(site)
     , m_dispatcher(dispatcher)
+    , m_random(site.incarnation.value)
 {
 }
 
@@ -109,16 +110,21 @@
     attempt(id);
 }
 
+bool Door::isKeyed(const ServiceName& name) const
+{
+    const auto& services = m_site.directory.routes()->services;
+    const auto service = services.find(name);
+    return service != services.end() && service->second.keyed;
+}
+
 // Finds the owner and its coordinator as this host sees them now; each try looks anew.
 void Door::attempt(RequestId id)
 {
     Pending& pending = *m_pending.at(id);
     const Request& request = pending.request;
     const unsigned number = ++pending.attempt;
-    const auto& services = m_site.directory.routes()->services;
-    const auto service = services.find(request.service);
-    if (service == services.end() || !service->second.keyed)
-        return handOver(id, "", "");
+    if (!isKeyed(request.service))
+        return handOver(id, drawGroup(request), "");
     const StoredTable* stored = m_site.directory.tableOf(request.service);
     const Range* range = stored ? findRange(stored->table, request.slot) : nullptr;
     if (!range)
@@ -132,6 +138,17 @@
     handOver(id, range->owner.name, owner->life.dataCentre);
 }
 
+// A group of a pooled service, as often as its slots are many; anew for each try.
+UpstreamName Door::drawGroup(const Request& request)
+{
+    const auto groups = m_site.groups.find(request.service);
+    if (groups == m_site.groups.end())
+        return groupName(0);
+    const auto& slots = groups->second.slots;
+    std::discrete_distribution<unsigned> draw(slots.begin(), slots.end());
+    return groupName(draw(m_random));
+}
+
 void Door::waitForRange(RequestId id, Millis readyIn)
 {
     Pending& pending = *m_pending.at(id);
@@ -243,6 +260,12 @@
     case RefusalReason::upstreamShed:
         return pending.tries < std::max(2u, pending.maxAttempts)
             && spendRepeat(m_budgets[request.service], repeatPolicy(), now);
+    case RefusalReason::queueFull: {
+        // Another group may have room.
+        const auto groups = m_site.groups.find(request.service);
+        return pending.tries < 2 && !isKeyed(request.service) && groups != m_site.groups.end()
+            && groups->second.slots.size() > 1;
+    }
     default:
         return false;
     }
--- a/src/gateway/door.h
+++ b/src/gateway/door.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <unordered_map>
 
 // A request's whole way on the host that its caller reached: admitted, routed, handed to the host that coordinates its
@@ -48,8 +49,10 @@
     };
 
     std::variant<std::unique_ptr<Pending>, Refusal> admit(HttpRequest&&, const Responder&);
+    bool isKeyed(const ServiceName&) const;
     void attempt(RequestId);
     void handOver(RequestId, const UpstreamName&, const DataCentreName& near);
+    UpstreamName drawGroup(const Request&);
     void waitForRange(RequestId, Millis readyIn);
     void onReply(RequestId, unsigned attempt, Reply);
     bool tryAgain(Pending&, const Refusal&);
@@ -66,6 +69,7 @@
     std::map<ServiceName, RepeatBudget> m_budgets;
     std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> m_counts;
     SplitState m_split;
+    std::mt19937_64 m_random;
     RequestId m_nextId = 1;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -101,6 +101,7 @@
     }
     if (routes)
         m_callerServer.setIdleTimeout(routes->limits.idleTimeout);
+    regroupPools(m_site);
     m_dispatcher.refresh();
     m_door.refresh();
     for (auto& [name, keeper] : m_keepers)
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -2,6 +2,8 @@
 
 #include "config/fields.h"
 
+#include <cmath>
+
 namespace pistachiospur {
 
 namespace leaf = boost::leaf;
@@ -83,6 +85,7 @@
     settings.admin = reader.endpoint("admin");
     settings.store = reader.endpoint("store");
     reader.oneOf("platform", { "kv" }, "kv");
+    settings.processorPercent = std::llround(reader.fractionOr("processor", 1) * 100);
     settings.limits = readLimits(*document, errors);
     reader.know("limits");
     reader.refuseUnknownFields();
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -49,6 +49,7 @@
     Endpoint peers; // where other hosts connect
     Endpoint admin; // metrics and status
     Endpoint store;
+    std::int64_t processorPercent = 100; // of a core, for this process
     GatewayLimits limits;
 };
 
--- a/src/gateway/site.cpp
+++ b/src/gateway/site.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachiospur {
 
@@ -11,6 +12,17 @@
 
 constexpr std::size_t kLargestAnswer = 64u << 20;
 
+// Upstreams of a pooled service for each host that coordinates some of them: enough to even out their queues, few
+// enough that one host can serve them.
+constexpr std::size_t kUpstreamsPerGroup = 8;
+
+// Weighted rendezvous: the least draw wins, and wins as often as its weight says.
+double drawOf(const std::string& text, double weight)
+{
+    const auto hash = static_cast<double>(XXH64(text.data(), text.size(), 0) >> 11) + 0.5;
+    return -std::log(hash / 9007199254740992.0) / weight; // 2^53
+}
+
 Incarnation incarnationNow() { return { static_cast<std::uint64_t>(wallNow().count()) }; }
 
 } // namespace
@@ -30,7 +42,7 @@
 std::vector<HostName> hostsFor(const Site& site, const std::string& name, const DataCentreName& near)
 {
     const Millis now = monotonicNow();
-    std::vector<std::tuple<bool, std::uint64_t, HostName>> order;
+    std::vector<std::tuple<bool, double, HostName>> order;
     for (const auto& [host, entry] : site.directory.hosts()) {
         const bool self = isSelf(site, host);
         const auto lost = site.unreachableUntil.find(host);
@@ -39,8 +51,8 @@
             continue;
         if (self && site.stopping)
             continue;
-        const std::string text = absl::StrCat(host, "/", name);
-        order.emplace_back(!near.empty() && entry.dataCentre != near, XXH64(text.data(), text.size(), 0), host);
+        order.emplace_back(
+            !near.empty() && entry.dataCentre != near, drawOf(absl::StrCat(host, "/", name), entry.weight), host);
     }
     std::sort(order.begin(), order.end());
     std::vector<HostName> hosts;
@@ -50,6 +62,28 @@
     return hosts;
 }
 
+std::string groupName(unsigned group) { return absl::StrCat("#", group); }
+
+void regroupPools(Site& site)
+{
+    const Millis now = monotonicNow();
+    site.groups.clear();
+    std::map<ServiceName, std::vector<const UpstreamLife*>> members;
+    for (const auto& [name, entry] : site.directory.lives()) {
+        if (mayTakeWork(entry, now))
+            members[entry.life.service].push_back(&entry.life);
+    }
+    for (const auto& [service, lives] : members) {
+        PoolGroups& groups = site.groups[service];
+        const auto n = std::max<std::size_t>(1, (lives.size() + kUpstreamsPerGroup / 2) / kUpstreamsPerGroup);
+        groups.slots.resize(n);
+        for (std::size_t it = 0; it < lives.size(); ++it) {
+            groups.groupOf[lives[it]->id.name] = static_cast<unsigned>(it % n);
+            groups.slots[it % n] += lives[it]->slots;
+        }
+    }
+}
+
 std::size_t hostCount(const Site& site) { return std::max<std::size_t>(1, site.directory.hosts().size()); }
 
 Millis pendingFor(const Site& site, const ServiceName& service, SlotId slot, Millis now)
