Keeper: predecessors settle sooner; idle upstreams are tried; a stopping keeper goes on renewing

Changes: an idle upstream takes what comes (test upstreamThatWasSlowIsTriedAgainWhenItIsIdle); tables say since when an earlier writer had no lease, and 3.5 s of renewing without the store in place of 12; a stopping keeper renews until its record is another's.

--- a/src/cli/bench.cpp
+++ b/src/cli/bench.cpp
@@ -135,7 +135,7 @@
 
     void startAll(const std::vector<Arrival>& list, Millis now)
     {
-        for (const auto& late : dropLate(m_queue, now)) {
+        for (const auto& late : dropLate(m_queue, m_queuePolicy, now)) {
             if (counts(list[late.id]))
                 ++m_outcomes[list[late.id].load].late;
         }
--- a/src/daemon/coordinator.cpp
+++ b/src/daemon/coordinator.cpp
@@ -143,7 +143,7 @@
     const Millis now = monotonicNow();
     for (auto& [name, runner] : m_runners) {
         renew(*runner, now);
-        for (const auto& it : dropLate(runner->queue, now))
+        for (const auto& it : dropLate(runner->queue, runner->policy, now))
             finish(*runner, it.id, notRun(RefusalReason::deadlinePassed));
         report(*runner, now);
         probe(*runner, now);
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -10,6 +10,8 @@
 
 // Share of an upstream's starts that each rank keeps when others flood it.
 constexpr double kRankShare = 0.1;
+// A late answer still earns its caller something, so only what is expected to miss its deadline is refused.
+constexpr double kRunMargin = 1.5;
 // An upstream that refused a connection or shed a request gets no other for so long while there are others.
 constexpr Millis kAvoidance { 300 };
 // Weight of the newest sample in an upstream's mean run time.
@@ -68,6 +70,8 @@
             pool.policy.slots += entry.life.slots;
     }
     pool.policy.perRank = static_cast<std::size_t>(m_site.settings.limits.queuePerRank);
+    pool.policy.runMargin = kRunMargin;
+    pool.policy.triesWhenIdle = true;
     pool.policy.shares.clear();
     if (const auto& routes = m_site.directory.routes()) {
         for (const auto& [host, list] : routes->hosts) {
@@ -214,7 +218,7 @@
 {
     const Millis now = monotonicNow();
     for (auto& [name, pool] : m_pools) {
-        for (const auto& it : dropLate(pool.queue, now))
+        for (const auto& it : dropLate(pool.queue, pool.policy, now))
             finish(pool, it.id, notRun(RefusalReason::queueFull, kRetryAfterRefusal));
         pump(pool);
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -268,14 +268,14 @@
         if (!isSelf(m_site, host))
             m_site.hub.send(host, HostLeaving { m_site.incarnation });
     }
-    for (auto& [name, keeper] : m_keepers)
-        keeper->resign([] {});
     m_stopTimer.every(kStopCheck);
 }
 
 void Gateway::checkStopped()
 {
     const Millis now = monotonicNow();
+    for (auto& [name, keeper] : m_keepers)
+        keeper->resign();
     const bool idle = m_door.pendingCount() == 0 && m_dispatcher.jobCount() == 0;
     const bool late = now >= m_stopAt + Millis(m_site.settings.limits.graceMs) - kKillMargin;
     if (!late && now < m_stopAt + kBalancerNotice)
--- a/src/gateway/keeper.cpp
+++ b/src/gateway/keeper.cpp
@@ -24,13 +24,14 @@
 constexpr Millis kReleaseEstimate { 200 };
 constexpr Millis kTellInterval { 1000 };
 constexpr Millis kAskInterval { 300 };
+constexpr Millis kResignRetry { 300 };
 // An upstream that refused connections for so long, and twice at least, loses its ranges.
 constexpr Millis kUnreachableAfter { 600 };
 constexpr Millis kProbeInterval { 1000 };
 // A keeper that yielded leaves the ranges to others for so long.
 constexpr Millis kYieldTime { 4000 };
-// Ends the name of a table's writer that has given its record up.
-const std::string kResigned = "/resigned";
+// Clocks of hosts may differ by so much, steps included.
+constexpr Millis kWallSkew { 6000 };
 // Counts lose this part at each interval, so that loads follow some four seconds.
 constexpr Millis kDecayInterval { 500 };
 constexpr double kDecay = 0.88;
@@ -82,11 +83,11 @@
 
 std::string Keeper::writerName() const { return m_site.settings.host + "#" + std::to_string(m_site.incarnation.value); }
 
-// Whether a writer of the table has resigned, or its process is known to have ended.
+// Whether the process of a writer of the table is known to have ended.
 bool Keeper::isGone(const std::string& writer) const
 {
     const auto mark = writer.find('#');
-    if (mark == std::string::npos || writer.find(kResigned) != std::string::npos)
+    if (mark == std::string::npos)
         return true;
     const HostName host = writer.substr(0, mark);
     const auto incarnation = std::strtoull(writer.c_str() + mark + 1, nullptr, 10);
@@ -102,35 +103,37 @@
 {
     const auto& limits = m_site.settings.limits;
     Millis stopped = m_tookOverAt;
-    for (const auto& [writer, stoppedAt] : m_predecessors)
-        stopped = std::max(stopped, stoppedAt.value_or(m_tookOverAt + Millis(limits.outageMs)));
+    for (const auto& [writer, it] : m_predecessors)
+        stopped = std::max(stopped, it.stoppedAt.value_or(m_tookOverAt + Millis(limits.outageMs)));
     return stopped + Millis(limits.orderTimeoutMs) + longestHold(m_earlierHold);
 }
 
 void Keeper::takePredecessors(const RangeTable& table)
 {
     m_predecessors.clear();
-    m_predecessors[table.writer] = std::nullopt;
+    m_predecessors[table.writer].since = wallNow();
     for (const auto& it : table.earlier)
-        m_predecessors[it] = std::nullopt;
+        m_predecessors[it.writer].since = it.since;
     m_earlierHold = table.hold;
+    askPredecessors();
 }
 
+// Finds out which predecessors have stopped: their process ended, the time for which they may renew is over, or they
+// say so themselves.
 void Keeper::askPredecessors()
 {
     const Millis now = monotonicNow();
-    const Millis outage = m_tookOverAt + Millis(m_site.settings.limits.outageMs);
+    const Millis outage(m_site.settings.limits.outageMs);
     const KeeperNews news { m_service, m_site.settings.host, m_site.incarnation, m_lease.id(), m_keeperVersion };
     const bool ask = now >= m_askAt;
     if (ask)
         m_askAt = now + kAskInterval;
-    for (auto& [writer, stoppedAt] : m_predecessors) {
-        if (stoppedAt)
+    for (auto& [writer, it] : m_predecessors) {
+        if (it.stoppedAt)
             continue;
-        if (isGone(writer))
-            stoppedAt = bootNow();
-        else if (bootNow() >= outage)
-            stoppedAt = outage;
+        const bool over = bootNow() >= m_tookOverAt + outage || wallNow() >= it.since + outage + kWallSkew;
+        if (over || isGone(writer))
+            it.stoppedAt = bootNow();
         else if (ask)
             m_site.hub.send(writer.substr(0, writer.find('#')), news);
     }
@@ -148,10 +151,10 @@
     if (!m_keeping || stopped.revision != m_keeperVersion)
         return;
     const std::string name = from + "#" + std::to_string(stopped.incarnation.value) + "/";
-    for (auto& [writer, stoppedAt] : m_predecessors) {
-        if (stoppedAt || writer.compare(0, name.size(), name) != 0)
+    for (auto& [writer, it] : m_predecessors) {
+        if (it.stoppedAt || writer.compare(0, name.size(), name) != 0)
             continue;
-        stoppedAt = bootNow();
+        it.stoppedAt = bootNow();
         logEvent(EventKind::state, "predecessor_stopped", { { "service", m_service }, { "predecessor", writer } });
     }
 }
@@ -281,23 +284,21 @@
     withdraw();
 }
 
-void Keeper::resign(std::function<void()> onEnd)
+void Keeper::resign()
 {
     m_resigned = true;
     if (!m_keeping) {
         if (m_standing)
             withdraw();
-        return onEnd();
+        return;
     }
-    ConditionalWrite write { { { keeperKey(m_service), m_keeperVersion } },
+    const Millis now = monotonicNow();
+    if (now < m_resignAt)
+        return;
+    m_resignAt = now + kResignRetry;
+    const ConditionalWrite write { { { keeperKey(m_service), m_keeperVersion } },
         { { keeperKey(m_service), std::nullopt, kNoLease } } };
-    if (m_tableKnown && m_pendingText.empty() && !m_writing) {
-        m_table.writer = writerName() + kResigned;
-        write.expected.push_back({ tableKey(m_service), m_tableRevision });
-        write.puts.push_back({ tableKey(m_service), encode(m_table), kNoLease });
-    }
-    m_site.directory.store().write(write, [onEnd = std::move(onEnd)](const WriteResult&) { onEnd(); });
-    stepDown("this host stops");
+    m_site.directory.store().write(write, [](const WriteResult&) {}); // the watch tells what came of it
 }
 
 // --- Planning and writing ---
@@ -405,9 +406,9 @@
         table.writer = writerName() + "/" + std::to_string(++m_writes);
         table.ranges = std::move(ranges);
         table.hold = std::max({ holdFor(table.ranges.size()), m_table.hold, m_earlierHold });
-        for (const auto& [writer, stoppedAt] : m_predecessors) {
-            if (!stoppedAt)
-                table.earlier.push_back(writer);
+        for (const auto& [writer, it] : m_predecessors) {
+            if (!it.stoppedAt)
+                table.earlier.push_back({ writer, it.since });
         }
         text = encode(table);
     }
--- a/src/gateway/keeper.h
+++ b/src/gateway/keeper.h
@@ -25,8 +25,8 @@
     // Another host keeps the ranges now: stops ordering before it answers.
     KeeperStopped onKeeperNews(const KeeperNews&);
     void onKeeperStopped(const HostName& from, const KeeperStopped&);
-    // Gives the record up, so that another host takes over at once.
-    void resign(std::function<void()> onEnd);
+    // Gives the record up, so that another host takes over at once. Until one does, this one goes on renewing.
+    void resign();
     bool isKeeping() const { return m_keeping; }
     void publishMetrics();
 
@@ -106,6 +106,7 @@
     bool m_keeping = false;
     bool m_standing = false; // holds a lease to keep the ranges, or opens one
     bool m_resigned = false;
+    Millis m_resignAt {}; // next try
     Millis m_vacantSince { -1 };
     StoreRevision m_keeperVersion;
     LeaseHolder m_lease; // that the record is bound to
@@ -120,7 +121,12 @@
     std::size_t m_orders = 0; // under way
     std::map<LifeId, unsigned> m_ordersAt;
     Millis m_tookOverAt {};
-    std::map<std::string, std::optional<Millis>> m_predecessors; // by writer; since when it certainly orders nothing
+    // A keeper before this one.
+    struct Predecessor {
+        Millis since {}; // wall clock: its lease had ended by then
+        std::optional<Millis> stoppedAt; // boot clock: it certainly orders nothing from here on
+    };
+    std::map<std::string, Predecessor> m_predecessors; // by writer
     Millis m_earlierHold {}; // life of their grants
     Millis m_askAt {};
     bool m_writing = false;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -19,7 +19,7 @@
             "time between two grants of a range to its owner" },
         { "orders_per_second", &GatewayLimits::ordersPerSecond, 120, 1, 100000, "grants",
             "grants that a keeper sends; with more ranges, interval and life of grants grow alike" },
-        { "outage_ms", &GatewayLimits::outageMs, 12000, 0, 600000, "ms",
+        { "outage_ms", &GatewayLimits::outageMs, 3500, 0, 600000, "ms",
             "how long a keeper without the store goes on renewing what it granted" },
         { "order_timeout_ms", &GatewayLimits::orderTimeoutMs, 400, 50, 5000, "ms",
             "a grant unanswered for so long is given up and its connection reset" },
--- a/src/ranges/table.cpp
+++ b/src/ranges/table.cpp
@@ -42,9 +42,11 @@
             range["previous"].push_back(encodeLife(life));
         ranges.push_back(std::move(range));
     }
+    Json earlier = Json::array();
+    for (const auto& it : table.earlier)
+        earlier.push_back({ it.writer, it.since.count() });
     return Json {
-        { "writer", table.writer }, { "hold_ms", table.hold.count() }, { "earlier", table.earlier },
-        { "ranges", ranges }
+        { "writer", table.writer }, { "hold_ms", table.hold.count() }, { "earlier", earlier }, { "ranges", ranges }
     }.dump();
 }
 
@@ -56,7 +58,8 @@
         RangeTable table;
         table.writer = document.at("writer").get<std::string>();
         table.hold = Millis(document.at("hold_ms").get<std::int64_t>());
-        table.earlier = document.at("earlier").get<std::vector<std::string>>();
+        for (const auto& it : document.at("earlier"))
+            table.earlier.push_back({ it.at(0).get<std::string>(), Millis(it.at(1).get<std::int64_t>()) });
         for (const auto& it : document.at("ranges"))
             table.ranges.push_back(decodeRange(it, revision));
         if (!coversEverySlot(table.ranges))
--- a/src/ranges/table.h
+++ b/src/ranges/table.h
@@ -28,10 +28,21 @@
     }
 };
 
+// A writer of the table before that may still be renewing grants.
+struct EarlierWriter {
+    std::string writer;
+    Millis since {}; // wall clock: its lease had ended by then
+
+    friend bool operator==(const EarlierWriter& a, const EarlierWriter& b)
+    {
+        return a.writer == b.writer && a.since == b.since;
+    }
+};
+
 struct RangeTable {
     std::string writer; // names the keeper's process and the write, so that a lost answer can be settled
     Millis hold {}; // life of the grants under this table; never shorter than under an earlier one
-    std::vector<std::string> earlier; // writers before that may still be renewing grants
+    std::vector<EarlierWriter> earlier;
     std::vector<Range> ranges; // in order, without gaps
 
     friend bool operator==(const RangeTable& a, const RangeTable& b)
--- a/src/requests/queue.cpp
+++ b/src/requests/queue.cpp
@@ -121,7 +121,12 @@
     RankLane& lane = queue.lanes[request.order];
     if (lane.waiting.size() >= policy.perRank)
         return RefusalReason::queueFull;
-    const Millis run(static_cast<std::int64_t>(lane.serviceMs * kRunMargin));
+    const Millis run(static_cast<std::int64_t>(lane.serviceMs * policy.runMargin));
+    const bool idle = queue.running == 0 && waitingCount(queue) == 0;
+    if (policy.triesWhenIdle && idle && now < request.deadline) {
+        lane.waiting.push_back(request);
+        return std::nullopt;
+    }
     if (now + run >= request.deadline)
         return RefusalReason::deadlinePassed;
     const auto wait = expectedWait(queue, policy, request.order) * kWaitMarginTenths / 10;
@@ -144,11 +149,11 @@
     return next;
 }
 
-std::vector<WaitingRequest> dropLate(UpstreamQueue& queue, Millis now)
+std::vector<WaitingRequest> dropLate(UpstreamQueue& queue, const QueuePolicy& policy, Millis now)
 {
     std::vector<WaitingRequest> late;
     for (auto& [order, lane] : queue.lanes) {
-        const Millis run(static_cast<std::int64_t>(lane.serviceMs * kRunMargin));
+        const Millis run(static_cast<std::int64_t>(lane.serviceMs * policy.runMargin));
         const auto isLate = [&](const WaitingRequest& it) { return now + run >= it.deadline; };
         std::copy_if(lane.waiting.begin(), lane.waiting.end(), std::back_inserter(late), isLate);
         lane.waiting.erase(std::remove_if(lane.waiting.begin(), lane.waiting.end(), isLate), lane.waiting.end());
--- a/src/requests/queue.h
+++ b/src/requests/queue.h
@@ -15,6 +15,10 @@
     unsigned slots = 1; // requests that the upstream runs at once
     std::size_t perRank = 1; // most waiting requests of one rank
     std::map<RankOrder, double> shares; // fraction of starts that each rank keeps; every rank is listed
+    double runMargin = 2; // runs are judged by their mean times this: starting what then ends late would waste the slot
+    // Whether an idle upstream takes what its mean run says would be late. Without that an upstream that was slow for a
+    // while, and so gets nothing, would never show that it is fast again.
+    bool triesWhenIdle = false;
 };
 
 // For so long after urgent work the least urgent rank leaves one slot free, unless its runs are short: an urgent
@@ -25,8 +29,7 @@
 // Weight of the newest sample in a rank's mean service time.
 constexpr double kServiceTimeWeight = 0.1;
 
-// Runs and waits are judged by their means times these: starting what then ends late would waste the slot.
-constexpr double kRunMargin = 2;
+// Waits are judged by their means times this.
 constexpr int kWaitMarginTenths = 15;
 
 struct WaitingRequest {
@@ -58,7 +61,7 @@
 // Takes the request that starts next, if a slot is free for any. The caller must report its end with finishRun.
 std::optional<WaitingRequest> startNext(UpstreamQueue&, const QueuePolicy&, Millis now);
 // Removes the requests that cannot be answered in time any more.
-std::vector<WaitingRequest> dropLate(UpstreamQueue&, Millis now);
+std::vector<WaitingRequest> dropLate(UpstreamQueue&, const QueuePolicy&, Millis now);
 // Removes one waiting request; false when it does not wait.
 bool removeWaiting(UpstreamQueue&, std::uint64_t id);
 // `took` is nothing for a run that tells nothing about the service time, such as one that the upstream refused.
--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -34,7 +34,7 @@
 
 RefusalReason reasonOf(const Admitted& it) { return std::get<Refusal>(it).reason; }
 
-QueuePolicy threeRanks() { return { 2, 50, { { 0, 0.1 }, { 1, 0.1 }, { 2, 0.1 } } }; }
+QueuePolicy threeRanks() { return { 2, 50, { { 0, 0.1 }, { 1, 0.1 }, { 2, 0.1 } }, 2, false }; }
 
 } // namespace
 
@@ -268,6 +268,33 @@
     BOOST_TEST(started[2] >= share * all - rounding);
 }
 
+BOOST_AUTO_TEST_CASE(upstreamThatWasSlowIsTriedAgainWhenItIsIdle)
+{
+    UpstreamQueue queue;
+    QueuePolicy policy = threeRanks();
+    policy.triesWhenIdle = true;
+    const Millis limit { 500 };
+    for (std::uint64_t n = 0; n < 50; ++n) { // slow runs
+        enqueue(queue, policy, { n, 1, Millis(100000) }, Millis(0));
+        startNext(queue, policy, Millis(0));
+        finishRun(queue, 1, Millis(2000));
+    }
+    std::uint64_t n = 100;
+    int refused = 0;
+    for (; n < 150; ++n) { // fast again: each accepted run shows it
+        if (enqueue(queue, policy, { n, 1, limit }, Millis(0))) {
+            ++refused;
+            continue;
+        }
+        BOOST_REQUIRE(startNext(queue, policy, Millis(0)));
+        finishRun(queue, 1, Millis(50));
+    }
+    BOOST_TEST(refused == 0);
+    policy.triesWhenIdle = false;
+    queue.lanes[1].serviceMs = 2000;
+    BOOST_TEST((enqueue(queue, policy, { n, 1, limit }, Millis(0)) == RefusalReason::deadlinePassed));
+}
+
 RC_BOOST_PROP(queueKeepsItsInvariantsAndLosesNothing, (std::uint64_t seed))
 {
     std::mt19937_64 random(seed);
@@ -282,7 +309,7 @@
         const WaitingRequest it { n, static_cast<RankOrder>(pick(3)), now + Millis(pick(3000)) };
         if (!enqueue(queue, policy, it, now))
             waiting.insert(n);
-        for (const auto& late : dropLate(queue, now))
+        for (const auto& late : dropLate(queue, policy, now))
             RC_ASSERT(waiting.erase(late.id) == 1);
         if (const auto next = startNext(queue, policy, now)) {
             RC_ASSERT(waiting.erase(next->id) == 1);
