Tool: explain puts a request's story together from logs; a wait that ran out says 100 ms

Found with it: requests for a range whose estimate had run out were told to come back after 1 ms; now 100 ms at least.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,4 +1,6 @@
 #include "commands.h"
+#include "config/settings.h"
+#include "observe/explain.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -26,6 +28,8 @@
         if (arguments.empty() || arguments[0] == it.name)
             std::cout << "pistachiospur " << it.name << " " << it.arguments << "\n    " << it.purpose << "\n";
     }
+    if (arguments.empty() || arguments[0] == "explain")
+        std::cout << "pistachiospur explain REQUEST FILE...\n    shows what decided a request, from hosts' logs\n";
     std::cout << "flags: --store=IP:PORT,... --hosts=IP:PORT,... --prefix=TEXT --output=text|json|html --based_on=N\n";
     return 0;
 }
@@ -53,8 +57,28 @@
     return leaf::new_error(UsageError { "--output", "text, json or html" });
 }
 
+// Needs no store: it reads logs alone.
+CommandResult explain(const std::vector<std::string>& arguments)
+{
+    if (arguments.size() < 2)
+        return leaf::new_error(UsageError { "explain", "a request's id and at least one log file" });
+    std::vector<std::string> logs;
+    for (auto it = arguments.begin() + 1; it != arguments.end(); ++it) {
+        BOOST_LEAF_AUTO(text, readFile(*it));
+        logs.push_back(std::move(text));
+    }
+    const auto lines = explainRequest(arguments[0], logs);
+    if (lines.empty())
+        return leaf::new_error(NotFoundError { "request", arguments[0] });
+    for (const auto& it : lines)
+        std::cout << it << "\n";
+    return ExitStatus::ok;
+}
+
 CommandResult runTool(const std::string& name, std::vector<std::string> arguments)
 {
+    if (name == "explain")
+        return explain(arguments);
     BOOST_LEAF_AUTO(output, parseOutput(absl::GetFlag(FLAGS_output)));
     BOOST_LEAF_AUTO(store, parseEndpoints("--store", absl::GetFlag(FLAGS_store)));
     BOOST_LEAF_AUTO(hosts, parseEndpoints("--hosts", absl::GetFlag(FLAGS_hosts)));
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -26,6 +26,8 @@
 constexpr Millis kHostAvoidance { 1000 };
 constexpr Millis kNoConfigurationRetry { 500 };
 constexpr Millis kNoOwnerRetry { 300 };
+// An estimate that has run out is no reason to come back at once.
+constexpr Millis kLeastRetry { 100 };
 // Deadline of a request whose caller names none.
 constexpr Millis kDefaultDeadline { 10000 };
 
@@ -156,7 +158,7 @@
         = Millis(static_cast<std::int64_t>(kRangeWaitShare * static_cast<double>(pending.request.aim.count())));
     const Millis waited = monotonicNow() - pending.receivedAt;
     if (waited + readyIn > most)
-        return onReply(id, pending.attempt, notRun(RefusalReason::noOwner, readyIn));
+        return onReply(id, pending.attempt, notRun(RefusalReason::noOwner, std::max(readyIn, kLeastRetry)));
     pending.state = State::waitingForRange;
     pauseFor(id, std::max(Millis(1), most - waited));
 }
