--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -222,7 +222,6 @@
                 return {};
             }
             m_routes = std::move(table);
-            m_configurationAt = monotonicNow();
             logEvent(EventKind::state, "configuration", { { "version", m_routes->version.value } });
             return {};
         },
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -92,7 +92,6 @@
     void noteStoreFailure(const char* call, const StoreError& error) { onStoreFailure(call, error); }
     bool isConnected() const { return m_connected; }
     StoreRevision revision() const { return m_revision; }
-    Millis configurationAt() const { return m_configurationAt; }
 
 private:
     void readAll();
@@ -121,8 +120,6 @@
     Millis m_watchAnsweredAt { -100000 };
 
     std::optional<RoutingTable> m_routes;
-    StoreRevision m_configurationRevision;
-    Millis m_configurationAt {}; // when it came into force, on the monotonic clock
     std::map<UpstreamName, LifeEntry> m_lives;
     std::set<LifeId> m_endedLives; // proven, whatever their entries say
     std::map<HostName, HostEntry> m_hosts;
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -60,14 +60,14 @@
 }
 
 // Finds route, service, slot and deadline, or refuses.
-std::variant<std::unique_ptr<Door::Pending>, Refusal> Door::admit(HttpRequest&& http, const Responder& responder)
+std::variant<std::unique_ptr<Door::Pending>, Refusal> Door::admit(
+    HttpRequest&& http, const CallerFacts& facts, const Responder& responder)
 {
     const auto& routes = m_site.directory.routes();
     if (!routes)
         return notRun(RefusalReason::noOwner, kNoConfigurationRetry);
     if (http.tooLarge)
         return notRun(RefusalReason::tooLarge);
-    const CallerFacts facts = m_site.dialect.readCaller(http);
     const PrefixRoute* route = matchRoute(*routes, facts.host, http.path);
     if (!route)
         return notRun(RefusalReason::noRoute);
@@ -94,10 +94,14 @@
 
 void Door::onCaller(HttpRequest http, const Responder& responder)
 {
-    auto admitted = admit(std::move(http), responder);
+    const CallerFacts facts = m_site.dialect.readCaller(http);
+    auto admitted = admit(std::move(http), facts, responder);
     if (const auto* refusal = std::get_if<Refusal>(&admitted)) {
         m_site.metrics.count("pistachiospur_refusals_total", { { "reason", factsOf(refusal->reason).name } });
-        logEvent(EventKind::request, "refused_at_door", { { "reason", factsOf(refusal->reason).name } });
+        logEvent(EventKind::request, "refused_at_door",
+            { { "request", facts.requestId }, { "caller_host", facts.host },
+                { "reason", factsOf(refusal->reason).name },
+                { "configuration", m_site.directory.routes() ? m_site.directory.routes()->version.value : 0 } });
         return respond(responder, m_site.dialect.refusalResponse(*refusal));
     }
     auto& pending = std::get<std::unique_ptr<Pending>>(admitted);
--- a/src/gateway/door.h
+++ b/src/gateway/door.h
@@ -48,7 +48,7 @@
         std::unique_ptr<Timer> pause;
     };
 
-    std::variant<std::unique_ptr<Pending>, Refusal> admit(HttpRequest&&, const Responder&);
+    std::variant<std::unique_ptr<Pending>, Refusal> admit(HttpRequest&&, const CallerFacts&, const Responder&);
     bool isKeyed(const ServiceName&) const;
     void attempt(RequestId);
     void handOver(RequestId, const UpstreamName&, const DataCentreName& near);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -204,7 +204,7 @@
         const KeeperEntry* entry = m_site.directory.keeperOf(service);
         if (!entry)
             continue;
-        LoadReport report { service, kLoadInterval, {}, m_dispatcher.runTimes(service) };
+        LoadReport report { service, {}, m_dispatcher.runTimes(service) };
         const auto found = counts.find(service);
         if (found != counts.end())
             report.counts.assign(found->second.begin(), found->second.end());
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -103,7 +103,6 @@
         double runMs = 0; // mean time of recent runs
     };
     ServiceName service;
-    Millis over {}; // length of the count
     std::vector<std::pair<std::uint32_t, std::uint32_t>> counts; // slot and requests
     std::vector<Run> runs;
 };
