--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -22,7 +22,7 @@
 Endpoint freeEndpoint()
 {
     const int fd = listenOn({ "127.0.0.1", 0 });
-    const Endpoint endpoint { "127.0.0.1", boundPort(fd) };
+    Endpoint endpoint { "127.0.0.1", boundPort(fd) };
     ::close(fd);
     return endpoint;
 }
