Balance: a hot run of slots is cut into as many pieces as it takes in one plan

A busiest upstream whose ranges must not move now also stopped the plan for all others. Change: what is left of a range can be cut again in the same plan; pieces are as large as a taker bears at 0.4 of its capacity; a slot that is too hot to move stays and its neighbours go; upstreams with nothing to give are passed over. Tests: oneHotRunIsCutIntoAsManyPiecesAsItTakesInOnePlan, busiestUpstreamThatMustKeepItsRangesHoldsUpNoOther (both failed before), neighboursOfOneHotSlotLeaveItsOwner.

--- a/src/ranges/balance.cpp
+++ b/src/ranges/balance.cpp
@@ -12,6 +12,8 @@
 constexpr double kBaseLoad = 2;
 // A range of an upstream that left is handed out in so many pieces.
 constexpr std::uint32_t kHeirs = 3;
+// Utilization up to which an upstream is filled that takes a piece of a hot run.
+constexpr double kComfortable = 0.4;
 // A neighbour's owner takes a quiet range only while its utilization stays below this.
 constexpr double kBusyHeir = 0.7;
 
@@ -45,22 +47,30 @@
 struct Standing {
     OwnerFacts facts;
     double load = 0;
+    bool giving = true; // has something that may move
 
     double utilization() const { return load / facts.capacity; }
 };
 
 using Standings = std::vector<Standing>;
 
+Standing* standingOf(Standings& all, const LifeId& id)
+{
+    const auto it = std::lower_bound(
+        all.begin(), all.end(), id, [](const Standing& n, const LifeId& wanted) { return n.facts.id < wanted; });
+    return it == all.end() || it->facts.id != id ? nullptr : &*it;
+}
+
+// In the order of their owners.
 Standings standingsOf(const std::vector<Range>& ranges, const std::vector<OwnerFacts>& owners, const SlotLoads& loads)
 {
     Standings all;
     for (const auto& it : owners)
         all.push_back({ it, 0 });
+    std::sort(all.begin(), all.end(), [](const Standing& a, const Standing& b) { return a.facts.id < b.facts.id; });
     for (const auto& range : ranges) {
-        const auto it
-            = std::find_if(all.begin(), all.end(), [&](const Standing& n) { return n.facts.id == range.owner; });
-        if (it != all.end())
-            it->load += loadBetween(loads, range.first, range.last);
+        if (Standing* owner = standingOf(all, range.owner))
+            owner->load += loadBetween(loads, range.first, range.last);
     }
     return all;
 }
@@ -70,6 +80,19 @@
     return std::tuple(a.utilization(), a.facts.id) < std::tuple(b.utilization(), b.facts.id);
 }
 
+// Those that have nothing to give come last.
+bool isLikelierGiver(const Standing& a, const Standing& b) { return a.giving != b.giving ? b.giving : isIdler(a, b); }
+
+double meanUtilization(const Standings& all)
+{
+    double load = 0, capacity = 0;
+    for (const auto& it : all) {
+        load += it.load;
+        capacity += it.facts.capacity;
+    }
+    return load / capacity;
+}
+
 void giveTo(Standings& all, std::vector<Move>& moves, const SlotLoads& loads, SlotId first, SlotId last)
 {
     auto& taker = *std::min_element(all.begin(), all.end(), isIdler);
@@ -90,36 +113,91 @@
     giveTo(all, moves, loads, first, range.last);
 }
 
-// A run at the start of the giver's busiest range that evens the two out; nothing when no run would.
-std::optional<Move> relieve(const std::vector<Range>& ranges, const Standing& giver, const Standing& taker,
-    const SlotLoads& loads, const std::set<std::uint32_t>& fixed)
+// What is left of a range after pieces at its start were given away or are to stay.
+struct Parcel {
+    SlotId first;
+    SlotId last;
+    LifeId owner;
+    double load = 0;
+};
+
+std::vector<Parcel> parcelsOf(
+    const std::vector<Range>& ranges, const SlotLoads& loads, const std::set<std::uint32_t>& fixed)
 {
-    const Range* busiest = nullptr;
-    double most = 0;
+    std::vector<Parcel> parcels;
     for (const auto& it : ranges) {
-        const double load = loadBetween(loads, it.first, it.last);
-        if (it.owner == giver.facts.id && it.previous.empty() && !fixed.count(it.first.value) && load > most) {
+        if (it.previous.empty() && !fixed.count(it.first.value))
+            parcels.push_back({ it.first, it.last, it.owner, loadBetween(loads, it.first, it.last) });
+    }
+    return parcels;
+}
+
+Parcel* busiestOf(std::vector<Parcel>& parcels, const LifeId& owner)
+{
+    Parcel* busiest = nullptr;
+    for (auto& it : parcels) {
+        if (it.owner == owner && it.first <= it.last && (!busiest || it.load > busiest->load))
             busiest = &it;
-            most = load;
-        }
     }
-    if (!busiest)
-        return std::nullopt;
-    const double surplus = (giver.load * taker.facts.capacity - taker.load * giver.facts.capacity)
-        / (giver.facts.capacity + taker.facts.capacity);
-    if (most <= surplus)
-        return Move { busiest->first, busiest->last, taker.facts.id };
-    const SlotId last = slotAtLoad(loads, busiest->first, busiest->last, surplus);
-    const double moved = loadBetween(loads, busiest->first, last);
-    if (last == busiest->last || moved >= 2 * surplus)
+    return busiest;
+}
+
+// Cuts a run off the start of the giver's busiest parcel that brings both towards a level of utilization; nothing when
+// that run would make the taker the busier one, as a single hot slot does: then it stays, and the rest can go.
+std::optional<Move> relieve(Parcel& parcel, Standing& giver, Standing& taker, const SlotLoads& loads, double level)
+{
+    const double surplus = giver.load - level * giver.facts.capacity;
+    const double room = level * taker.facts.capacity - taker.load;
+    const double wanted = std::min(surplus, room);
+    const SlotId last = parcel.load <= wanted ? parcel.last : slotAtLoad(loads, parcel.first, parcel.last, wanted);
+    const double moved = loadBetween(loads, parcel.first, last);
+    const bool helps = (taker.load + moved) / taker.facts.capacity < giver.utilization();
+    const Move move { parcel.first, last, taker.facts.id };
+    parcel.first = last.next();
+    parcel.load -= moved;
+    if (!helps)
         return std::nullopt;
-    return Move { busiest->first, last, taker.facts.id };
+    giver.load -= moved;
+    taker.load += moved;
+    return move;
 }
 
-Standing* standingOf(Standings& all, const LifeId& id)
+// Relieves the busiest upstreams in favour of the idlest. A hot run of slots is cut into as many pieces as it takes.
+void spread(Standings& all, std::vector<Move>& moves, std::vector<Parcel> parcels, const SlotLoads& loads,
+    const BalancePolicy& policy)
+{
+    const double mean = meanUtilization(all);
+    std::size_t tries = 2 * policy.mostMoves;
+    const std::size_t most = moves.size() + policy.mostMoves;
+    while (moves.size() < most && tries-- > 0) {
+        auto& giver = *std::max_element(all.begin(), all.end(), isLikelierGiver);
+        auto& taker = *std::min_element(all.begin(), all.end(), isIdler);
+        const bool idle = taker.load <= 0;
+        if (!idle && giver.utilization() < policy.busyEnough)
+            return;
+        if (!idle && giver.utilization() - taker.utilization() < policy.worthwhileGap)
+            return;
+        if (!giver.giving)
+            return;
+        Parcel* parcel = busiestOf(parcels, giver.facts.id);
+        if (!parcel) {
+            giver.giving = false;
+            ++tries;
+            continue;
+        }
+        // Pieces no smaller than a taker can well bear. An upstream without any slots takes half of what the busiest
+        // has, however quiet that is.
+        const double even = (giver.load + taker.load) / (giver.facts.capacity + taker.facts.capacity);
+        const double level = idle ? even : std::min(even, std::max(mean, kComfortable));
+        if (const auto move = relieve(*parcel, giver, taker, loads, level))
+            moves.push_back(*move);
+    }
+}
+
+const Range& rangeWith(const std::vector<Range>& ranges, SlotId slot)
 {
-    const auto it = std::find_if(all.begin(), all.end(), [&](const Standing& n) { return n.facts.id == id; });
-    return it == all.end() ? nullptr : &*it;
+    return *std::lower_bound(
+        ranges.begin(), ranges.end(), slot, [](const Range& range, SlotId wanted) { return range.last < wanted; });
 }
 
 // Gives the quietest ranges to the owners of their neighbours, so that they can be joined.
@@ -174,28 +252,13 @@
     Standings all = standingsOf(ranges, owners, loads);
     const bool many = ranges.size() > policy.rangesPerOwner * owners.size();
     for (const auto& range : ranges) {
-        const bool kept
-            = std::any_of(owners.begin(), owners.end(), [&](const OwnerFacts& it) { return it.id == range.owner; });
-        if (!kept)
+        if (!standingOf(all, range.owner))
             bequeath(all, moves, loads, range, many ? 1 : kHeirs);
     }
+    spread(all, moves, parcelsOf(ranges, loads, fixed), loads, policy);
     std::set<std::uint32_t> settled = fixed;
-    for (unsigned n = 0; n < policy.mostMoves && moves.size() < policy.mostMoves; ++n) {
-        auto& giver = *std::max_element(all.begin(), all.end(), isIdler);
-        auto& taker = *std::min_element(all.begin(), all.end(), isIdler);
-        if (giver.utilization() < policy.busyEnough && taker.load > 0)
-            break;
-        if (giver.utilization() - taker.utilization() < policy.worthwhileGap && taker.load > 0)
-            break;
-        const auto move = relieve(ranges, giver, taker, loads, settled);
-        if (!move)
-            break;
-        const double moved = loadBetween(loads, move->first, move->last);
-        giver.load -= moved;
-        taker.load += moved;
-        settled.insert(move->first.value);
-        moves.push_back(*move);
-    }
+    for (const auto& it : moves)
+        settled.insert(rangeWith(ranges, it.first).first.value);
     if (many)
         absorb(ranges, all, moves, loads, settled, policy.mostMoves);
     return moves;
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -154,6 +154,54 @@
         BOOST_TEST(rate <= 10); // an upstream's capacity
 }
 
+// Load by owner once the moves of one plan are made.
+std::map<LifeId, double> loadAfterOnePlan(const SlotLoads& loads, int owners, unsigned mostMoves)
+{
+    BalancePolicy policy;
+    policy.mostMoves = mostMoves;
+    auto ranges = evenRanges(ownersUpTo(owners));
+    for (const auto& it : planMoves(ranges, ownersUpTo(owners), loads, {}, policy))
+        assign(ranges, it.first, it.last, it.to);
+    std::map<LifeId, double> load;
+    for (const auto& [slot, rate] : loads)
+        load[rangeAt(ranges, { slot }).owner] += rate;
+    return load;
+}
+
+BOOST_AUTO_TEST_CASE(oneHotRunIsCutIntoAsManyPiecesAsItTakesInOnePlan)
+{
+    SlotLoads loads;
+    for (std::uint32_t slot = 1000; slot < 1200; ++slot)
+        loads[slot] = 1; // twenty upstreams' worth
+    for (const auto& [owner, rate] : loadAfterOnePlan(loads, 100, 60))
+        BOOST_TEST(rate <= 10); // an upstream's capacity
+}
+
+BOOST_AUTO_TEST_CASE(busiestUpstreamThatMustKeepItsRangesHoldsUpNoOther)
+{
+    const auto owners = ownersUpTo(10);
+    const auto ranges = evenRanges(owners);
+    SlotLoads loads;
+    loads[ranges[0].first.value] = 40;
+    for (std::uint32_t n = 0; n < 20; ++n)
+        loads[ranges[1].first.value + n] = 1;
+    const auto moves = planMoves(ranges, owners, loads, { ranges[0].first.value }, {});
+    BOOST_TEST(!moves.empty());
+    for (const auto& it : moves)
+        BOOST_TEST((ranges[1].first <= it.first && it.last <= ranges[1].last));
+}
+
+BOOST_AUTO_TEST_CASE(neighboursOfOneHotSlotLeaveItsOwner)
+{
+    SlotLoads loads { { 1000, 30.0 } };
+    for (std::uint32_t slot = 1001; slot < 1020; ++slot)
+        loads[slot] = 0.5;
+    const auto load = loadAfterOnePlan(loads, 20, 20);
+    BOOST_TEST(load.size() > 1u);
+    for (const auto& [owner, rate] : load)
+        BOOST_TEST((rate <= 10 || rate < 31));
+}
+
 BOOST_AUTO_TEST_CASE(newUpstreamGetsSlots)
 {
     auto ranges = evenRanges(ownersUpTo(4));
