Watcher: when a watch fails its host says so, and one host after the other takes over

Ruled out: retries of the turned-away hosts' own entries (none is made without a lease); leases (a tenth of the price each). Change: a host whose watch fails tells the others at once; one that is silent is passed over; the next in order watches. Read changes that a host knows already are not passed on.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -89,6 +89,7 @@
     m_reading = false;
     if (const auto* error = std::get_if<StoreError>(&result)) {
         onStoreFailure("read", *error);
+        m_watchFailedAt = monotonicNow();
         m_retryTimer.once(kStorePause);
         return;
     }
@@ -98,8 +99,12 @@
         if (!snapshot.values.count(key) && version < snapshot.revision)
             changes.push_back({ key, std::nullopt, snapshot.revision });
     }
-    for (auto& [key, value] : snapshot.values)
-        changes.push_back({ key, std::move(value.text), value.version });
+    // What this host knows already is left out: a host that takes the watch over passes the rest on to the others.
+    for (auto& [key, value] : snapshot.values) {
+        const auto known = m_versions.find(key);
+        if (known == m_versions.end() || known->second < value.version)
+            changes.push_back({ key, std::move(value.text), value.version });
+    }
     for (const auto& it : changes)
         apply(it);
     const StoreRevision before = std::exchange(m_revision, std::max(m_revision, snapshot.revision));
@@ -131,6 +136,7 @@
                 return;
             }
             onStoreFailure("watch", error);
+            m_watchFailedAt = monotonicNow();
             m_retryTimer.once(kStorePause);
         });
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -63,6 +63,8 @@
     void readTable(const ServiceName&);
     // When the watch last had an answer of the store, on the monotonic clock.
     Millis watchAnsweredAt() const { return m_watchAnsweredAt; }
+    // When it last failed.
+    Millis watchFailedAt() const { return m_watchFailedAt; }
     // Announces that this host leaves, or ends its lease.
     void announceLeaving();
     void endLease(std::function<void()> onEnd);
@@ -118,6 +120,7 @@
     bool m_watching = true;
     bool m_reading = false;
     Millis m_watchAnsweredAt { -100000 };
+    Millis m_watchFailedAt { -100000 };
 
     std::optional<RoutingTable> m_routes;
     std::map<UpstreamName, LifeEntry> m_lives;
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -101,7 +101,7 @@
 PISTACHIOSPUR_WIRE(KeeperStopped, std::tie(it.service, it.incarnation, it.revision))
 PISTACHIOSPUR_WIRE(Range, std::tie(it.first, it.last, it.owner, it.fence, it.previous))
 PISTACHIOSPUR_WIRE(RangeNews, std::tie(it.service, it.revision, it.base, it.changed, it.pending))
-PISTACHIOSPUR_WIRE(FeedBatch, std::tie(it.batch, it.tables))
+PISTACHIOSPUR_WIRE(FeedBatch, std::tie(it.batch, it.tables, it.lost))
 
 namespace {
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -126,6 +126,7 @@
 struct FeedBatch {
     ChangeBatch batch;
     std::vector<std::pair<ServiceName, StoreRevision>> tables;
+    bool lost = false; // the sender's watch has failed, and there is nothing else in the message
 };
 
 // A host has become the keeper of a service's ranges.
