Ranges: news of a table names its writers, so that a successor waits for the right predecessor

A host that became the keeper took the writer of seconds ago for one whose process had been replaced, counted it as stopped, and gave out a range 249 ms before the grant ended that the real predecessor, cut off with one data centre, had renewed. Ruled out: the upstream's clock (2 % of 2.5 s is 50 ms, the margin 150 ms); late grants. Change: news carries the whole head of the table. Test: changesTurnTheEarlierTableIntoTheLater now compares whole tables; it fails with the ranges alone.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -191,8 +191,7 @@
         return;
     const StoredTable* known = m_site.directory.tableOf(news.service);
     if (known && known->revision == news.base && known->revision < news.revision) {
-        StoredTable next { known->table, news.revision };
-        overlay(next.table.ranges, news.changed);
+        StoredTable next { withChanges(known->table, news.changes), news.revision };
         if (coversEverySlot(next.table.ranges))
             m_site.directory.learnTable(news.service, std::move(next));
     }
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -319,7 +319,7 @@
         return;
     if (m_toldRevision != m_tableRevision) {
         news.base = m_toldRevision;
-        news.changed = changedRanges(m_toldRanges, m_table.ranges);
+        news.changes = changesBetween(m_toldRanges, m_table);
         m_toldRanges = m_table.ranges;
     }
     m_toldRevision = m_tableRevision;
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -100,7 +100,9 @@
 PISTACHIOSPUR_WIRE(KeeperNews, std::tie(it.service, it.host, it.incarnation, it.lease, it.revision))
 PISTACHIOSPUR_WIRE(KeeperStopped, std::tie(it.service, it.incarnation, it.revision))
 PISTACHIOSPUR_WIRE(Range, std::tie(it.first, it.last, it.owner, it.fence, it.previous))
-PISTACHIOSPUR_WIRE(RangeNews, std::tie(it.service, it.revision, it.base, it.changed, it.pending))
+PISTACHIOSPUR_WIRE(EarlierWriter, std::tie(it.writer, it.since))
+PISTACHIOSPUR_WIRE(RangeTable, std::tie(it.writer, it.hold, it.earlier, it.ranges))
+PISTACHIOSPUR_WIRE(RangeNews, std::tie(it.service, it.revision, it.base, it.changes, it.pending))
 PISTACHIOSPUR_WIRE(FeedBatch, std::tie(it.batch, it.tables, it.lost))
 
 namespace {
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -117,7 +117,7 @@
     ServiceName service;
     StoreRevision revision;
     StoreRevision base; // of the table that the changes apply to; the revision itself when there are none
-    std::vector<Range> changed;
+    RangeTable changes; // its changed ranges alone
     std::vector<Pending> pending;
 };
 
--- a/src/ranges/table.cpp
+++ b/src/ranges/table.cpp
@@ -120,22 +120,25 @@
     }
 }
 
-std::vector<Range> changedRanges(const std::vector<Range>& before, const std::vector<Range>& now)
+RangeTable changesBetween(const std::vector<Range>& before, const RangeTable& now)
 {
-    std::vector<Range> changed;
+    RangeTable changes { now.writer, now.hold, now.earlier, {} };
     auto old = before.begin();
-    for (const auto& it : now) {
+    for (const auto& it : now.ranges) {
         while (old != before.end() && old->first < it.first)
             ++old;
         if (old == before.end() || !(*old == it))
-            changed.push_back(it);
+            changes.ranges.push_back(it);
     }
-    return changed;
+    return changes;
 }
 
-void overlay(std::vector<Range>& ranges, const std::vector<Range>& changed)
+RangeTable withChanges(const RangeTable& before, const RangeTable& changes)
 {
-    for (const auto& it : changed) {
+    RangeTable now = changes;
+    now.ranges = before.ranges;
+    auto& ranges = now.ranges;
+    for (const auto& it : changes.ranges) {
         splitAt(ranges, it.first);
         if (it.last.value + 1 < kKeySlots)
             splitAt(ranges, { it.last.value + 1 });
@@ -144,6 +147,7 @@
         const auto end = std::find_if_not(at, ranges.end(), covered);
         ranges.insert(ranges.erase(at, end), it);
     }
+    return now;
 }
 
 void joinNeighbours(std::vector<Range>& ranges)
--- a/src/ranges/table.h
+++ b/src/ranges/table.h
@@ -66,10 +66,11 @@
 // Gives the slots from `first` to `last` to a new owner under a fence of this write. Ranges are split where the run
 // begins or ends inside them; the owner before joins `previous`.
 void assign(std::vector<Range>&, SlotId first, SlotId last, const LifeId& owner);
-// The ranges of a table that stand in it otherwise than in an earlier one.
-std::vector<Range> changedRanges(const std::vector<Range>& before, const std::vector<Range>& now);
-// Puts changed ranges in the place of what they cover; the reverse of the above.
-void overlay(std::vector<Range>&, const std::vector<Range>& changed);
+// A table with only those of its ranges that stand in it otherwise than in an earlier one.
+RangeTable changesBetween(const std::vector<Range>& before, const RangeTable& now);
+// The later table, from the earlier one and those changes. All of it, not the ranges alone: a host that becomes the
+// keeper goes by the writers that the table names.
+RangeTable withChanges(const RangeTable& before, const RangeTable& changes);
 // Joins neighbours that differ in nothing but their slots.
 void joinNeighbours(std::vector<Range>&);
 
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -93,17 +93,16 @@
 
 RC_BOOST_PROP(changesTurnTheEarlierTableIntoTheLater, ())
 {
-    const auto before = randomRanges(5);
-    auto now = before;
+    const RangeTable before { "host#0/7", Millis(2500), {}, randomRanges(5) };
+    RangeTable later { "host#1/1", Millis(3000), { { "host#0/7", Millis(5) } }, before.ranges };
+    auto& now = later.ranges;
     for (int n = *rc::gen::inRange(0, 4); n > 0; --n) {
         const auto a = *rc::gen::inRange(0u, kKeySlots), b = *rc::gen::inRange(0u, kKeySlots);
         assign(now, { std::min(a, b) }, { std::max(a, b) }, life(*rc::gen::inRange(0, 9)));
     }
     if (*rc::gen::arbitrary<bool>())
         joinNeighbours(now);
-    auto rebuilt = before;
-    overlay(rebuilt, changedRanges(before, now));
-    RC_ASSERT(rebuilt == now);
+    RC_ASSERT(withChanges(before, changesBetween(before.ranges, later)) == later);
 }
 
 RC_BOOST_PROP(joiningChangesNoSlot, ())
