--- a/models/ranges.pml
+++ b/models/ranges.pml
@@ -83,11 +83,7 @@
 #else
 #define answeredOver(k, u) (now >= answeredUntil[(k) * 2 + (u)])
 #endif
-#ifdef NO_CAS
-#define tableMine(k) true
-#else
 #define tableMine(k) (keeper == k && now < leaseEnd && viewWrites[k] == writes)
-#endif
 
 inline carryOut(to, atFence, arrived)
 {
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -116,20 +116,6 @@
 
 namespace {
 
-Refusal interpretFailure(HttpFault fault)
-{
-    switch (fault) {
-    case HttpFault::notSent:
-        return notRun(RefusalReason::upstreamUnreachable);
-    case HttpFault::timeout:
-        return maybeRun(RefusalReason::upstreamTimeout);
-    case HttpFault::broken:
-    case HttpFault::tooLarge:
-        break;
-    }
-    return maybeRun(RefusalReason::upstreamBroken);
-}
-
 bool hasLength(const HttpAnswer& answer)
 {
     return answer.headers.count("content-length") || answer.headers.count("transfer-encoding") || answer.status == 204
@@ -144,10 +130,24 @@
 
 } // namespace
 
+Refusal refusalFor(HttpFault fault)
+{
+    switch (fault) {
+    case HttpFault::notSent:
+        return notRun(RefusalReason::upstreamUnreachable);
+    case HttpFault::timeout:
+        return maybeRun(RefusalReason::upstreamTimeout);
+    case HttpFault::broken:
+    case HttpFault::tooLarge:
+        break;
+    }
+    return maybeRun(RefusalReason::upstreamBroken);
+}
+
 Reply interpret(HttpOutcome outcome)
 {
     if (const auto* failure = std::get_if<HttpFailure>(&outcome))
-        return interpretFailure(failure->fault);
+        return refusalFor(failure->fault);
     auto& answer = std::get<HttpAnswer>(outcome);
     const auto ran = answer.headers.find(kRanHeader);
     const bool refused = ran != answer.headers.end() && ran->second == "no";
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -28,6 +28,8 @@
 HttpCall renewalCall(const Upstream&, const Renewal&, Millis timeout);
 HttpCall requestCall(const Upstream&, const Request&, SlotGrant, Term, Millis now);
 
+// What a request's failure on the way means for its caller, whatever the upstream speaks.
+Refusal refusalFor(HttpFault);
 // What an upstream's outcome means for the caller. An answer that is not provably whole counts as broken.
 Reply interpret(HttpOutcome);
 
