--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 FLAGS := -std=c++17 -Wall -Wextra -Werror -MMD -MP -Iinclude -Isrc -I. -DBOOST_TEST_DYN_LINK
-LIBS := -lev -lmicrohttpd -lcurl -lprometheus-cpp-core -llog4cplus -lxxhash $(shell pkg-config --libs absl_flags absl_flags_parse absl_flags_usage absl_strings)
+LIBS := -lev -lcurl -lprometheus-cpp-core -llog4cplus -lxxhash $(shell pkg-config --libs absl_flags absl_flags_parse absl_flags_usage absl_strings)
 PACKAGES := g++ make pkg-config clang-format clang-tidy libev-dev libwebsocketpp-dev prometheus-cpp-dev \
-	libcurl4-openssl-dev libmicrohttpd-dev libabsl-dev liblog4cplus-dev libboost1.81-dev libboost-test1.81-dev \
+	libcurl4-openssl-dev libabsl-dev liblog4cplus-dev libboost1.81-dev libboost-test1.81-dev \
 	nlohmann-json3-dev librapidcheck-dev libxxhash-dev spin curl
 
 LIB_SOURCES := $(filter-out src/daemon/main.cpp src/cli/%,$(wildcard src/*/*.cpp)) $(wildcard platform/*.cpp)
--- a/bench/site.cpp
+++ b/bench/site.cpp
@@ -38,15 +38,17 @@
     return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20);
 }
 
-// The value of a metric without labels; 0 if the host does not report it.
+// The sum of a metric over all its labels; 0 if the host does not report it.
 double metricOf(Site& site, const SiteHost& host, const std::string& name)
 {
     std::istringstream text(site.call(host.admin, "GET", "/metrics").body);
+    double sum = 0;
     for (std::string line; std::getline(text, line);) {
-        if (line.compare(0, name.size() + 1, name + " ") == 0)
-            return std::stod(line.substr(name.size() + 1));
+        const bool found = line.compare(0, name.size(), name) == 0 && (line[name.size()] == ' ' || line[name.size()] == '{');
+        if (found)
+            sum += std::stod(line.substr(line.rfind(' ') + 1));
     }
-    return 0;
+    return sum;
 }
 
 double totalStoreCalls(Site& site)
--- a/include/pistachiospur/request.h
+++ b/include/pistachiospur/request.h
@@ -68,6 +68,8 @@
     hostUnreachable,
     hostLost,
     upstreamReplaced,
+    memoryFull,
+    unreadableRoute,
     count, // number of reasons
 };
 
--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -2,6 +2,10 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
 namespace pistachiospur {
 
 namespace {
@@ -138,22 +142,36 @@
     return std::llround(n);
 }
 
-double FieldReader::fractionOr(const char* field, double defaultValue)
+std::int64_t FieldReader::roundedIntegerOr(const char* field, Bounds bounds, std::int64_t defaultValue)
+{
+    m_knownFields.insert(field);
+    if (!has(field))
+        return defaultValue;
+    const std::size_t faults = m_errors.size();
+    const auto n = roundedInteger(field, bounds);
+    return m_errors.size() == faults ? n : defaultValue;
+}
+
+double FieldReader::numberOr(const char* field, double min, double max, double defaultValue)
 {
-    const char* allowed = "a number from 0 to 1";
-    const Json* value = find(field, false, allowed);
+    std::ostringstream allowed;
+    allowed << "a number from " << min << " to " << max;
+    const Json* value = find(field, false, "");
     if (!value)
         return defaultValue;
     if (!value->is_number()) {
-        addFault(FieldFault::wrongType, field, value->dump(), allowed);
+        addFault(FieldFault::wrongType, field, value->dump(), allowed.str());
         return defaultValue;
     }
     const double n = value->get<double>();
-    if (!(n >= 0 && n <= 1))
-        addFault(FieldFault::outOfRange, field, value->dump(), allowed);
-    return n;
+    if (n >= min && n <= max)
+        return n;
+    addFault(FieldFault::outOfRange, field, value->dump(), allowed.str());
+    return defaultValue;
 }
 
+double FieldReader::fractionOr(const char* field, double defaultValue) { return numberOr(field, 0, 1, defaultValue); }
+
 bool FieldReader::flagOr(const char* field, bool defaultValue)
 {
     const Json* value = find(field, false, "");
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -34,7 +34,11 @@
     std::int64_t integerOr(const char* field, Bounds, std::int64_t defaultValue);
     // Accepts a number with a fraction and rounds it to the nearest integer.
     std::int64_t roundedInteger(const char* field, Bounds);
+    std::int64_t roundedIntegerOr(const char* field, Bounds, std::int64_t defaultValue);
+    // A number, which may have a fraction, from `min` to `max`.
+    double numberOr(const char* field, double min, double max, double defaultValue);
     double fractionOr(const char* field, double defaultValue);
+    bool has(const char* field) const { return m_object.is_object() && m_object.contains(field); }
     bool flagOr(const char* field, bool defaultValue);
     // A string that must be one of `choices`. The field is required if `defaultValue` is empty.
     std::string oneOf(const char* field, const std::vector<std::string>& choices, const std::string& defaultValue);
--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -63,11 +63,7 @@
     m_coordinators.publishMetrics();
     auto& metrics = m_context.metrics;
     metrics.set("pistachiospur_peer_links", {}, static_cast<double>(m_context.hub.linkCount()));
-    // The hub counts its own totals; this raises the metric to the same value.
-    const auto raiseTo
-        = [&](const char* name, double total) { metrics.count(name, {}, total - metrics.counterValue(name)); };
-    raiseTo("pistachiospur_peer_messages_total", static_cast<double>(m_context.hub.sentMessages()));
-    raiseTo("pistachiospur_peer_bytes_total", static_cast<double>(m_context.hub.sentBytes()));
+    publishTraffic(metrics, m_context.hub);
     const Millis now = monotonicNow();
     double quarantined = 0;
     for (const auto& [fingerprint, suspect] : m_context.quarantine.suspects)
--- a/src/daemon/context.h
+++ b/src/daemon/context.h
@@ -2,6 +2,7 @@
 
 #include "config/settings.h"
 #include "io/http_client.h"
+#include "io/http_server.h"
 #include "io/loop.h"
 #include "membership/members.h"
 #include "observe/burn.h"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -108,7 +108,7 @@
             [](const HostLeaving&) {},
             [](const LeaderAnnouncement&) {},
             [](const LeaderSteppedDown&) {},
-            [](const WatchUpdate&) {},
+            [](const WatchUpdate&) {}, [](const RelayBody&) {}, [](const RelayBodyCredit&) {},
         },
         message);
 }
--- a/src/daemon/frontend.cpp
+++ b/src/daemon/frontend.cpp
@@ -157,11 +157,16 @@
 {
     std::vector<std::pair<RequestId, unsigned>> affected;
     for (const auto& [id, pending] : m_pending) {
-        if (pending->link == lost.link && pending->host == lost.host)
+        if (lossOf(lost, pending->link) != LinkLoss::unaffected)
             affected.emplace_back(id, pending->attempt);
     }
-    for (const auto& [id, attempt] : affected)
-        onReply(id, attempt, lost.opened ? maybeRun(RefusalReason::hostLost) : notRun(RefusalReason::hostUnreachable));
+    for (const auto& [id, attempt] : affected) {
+        const auto it = m_pending.find(id);
+        if (it == m_pending.end())
+            continue;
+        const bool sent = lossOf(lost, it->second->link) == LinkLoss::sent;
+        onReply(id, attempt, sent ? maybeRun(RefusalReason::hostLost) : notRun(RefusalReason::hostUnreachable));
+    }
 }
 
 // Handles the reply to an attempt. A reply to an earlier attempt is late and ignored.
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -33,6 +33,15 @@
     StoreRevision fence; // fencing token
     Millis ttl {};
     std::string handover; // token from the previous owner's release; empty if there is none
+    std::string id; // of this order; the upstream repeats it in its answer
+};
+
+// An order that takes a range of slots back from an upstream.
+struct ReleaseOrder {
+    SlotId first;
+    SlotId last; // inclusive
+    StoreRevision fence;
+    std::string id;
 };
 
 // Outcome of an order to an upstream.
@@ -53,6 +62,7 @@
 struct PlatformAdapter {
     std::string configurationKey; // store key of the operator's configuration
     std::string upstreamPrefix; // prefix of the store keys of upstreams' entries
+    // Parts that cannot be read are listed in the table's `faults`; the others are in force.
     boost::leaf::result<RoutingTable> (*decodeConfiguration)(const std::string& text);
     boost::leaf::result<UpstreamInstance> (*decodeUpstream)(const UpstreamName&, const std::string& text);
     std::unique_ptr<LeasedStore> (*openStore)(HttpClient&, const Endpoint&, Millis timeout);
@@ -62,9 +72,11 @@
     HttpResponse (*refusalResponse)(const Refusal&);
 
     HttpCall (*grantCall)(const UpstreamInstance&, const GrantOrder&);
-    OrderVerdict (*interpretGrant)(const HttpOutcome&);
-    HttpCall (*releaseCall)(const UpstreamInstance&, SlotId first, SlotId last, StoreRevision fence);
-    ReleaseResult (*interpretRelease)(const HttpOutcome&);
+    // An answer that bears another order's id proves nothing: an upstream may answer an order twice, the second time on
+    // a connection that carries another order by then.
+    OrderVerdict (*interpretGrant)(const HttpOutcome&, const std::string& orderId);
+    HttpCall (*releaseCall)(const UpstreamInstance&, const ReleaseOrder&);
+    ReleaseResult (*interpretRelease)(const HttpOutcome&, const std::string& orderId);
     // `timeLeft` is the time that the upstream has to answer.
     HttpCall (*requestCall)(const UpstreamInstance&, const Request&, Millis timeLeft);
     Reply (*interpretAnswer)(HttpOutcome, const Request&, const UpstreamName& sentTo);
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -6,12 +6,22 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unistd.h>
 
 namespace pistachiospur {
 
 namespace {
 
-constexpr std::size_t kMaxResponseBytes = 64u << 20;
+// Parts of the process's memory that bodies in transit may use.
+constexpr std::size_t kRequestBodiesDivisor = 8; // of all requests
+constexpr std::size_t kAnswerBodiesDivisor = 8; // of all answers
+constexpr std::size_t kAnswerBodyDivisor = 32; // of one answer
+constexpr std::size_t kBacklogDivisor = 16; // of what waits to be sent on one link
+
+std::size_t memoryPart(const GatewaySettings& settings, std::size_t divisor)
+{
+    return (static_cast<std::size_t>(settings.limits.memoryMb) << 20) / divisor;
+}
 
 // Upstreams of a pooled service in one group: enough to even out load within the shared queue, few enough for one host
 // to coordinate.
@@ -24,7 +34,12 @@
     return -std::log(hash / 9007199254740992.0) / weight; // 2^53
 }
 
-Incarnation makeIncarnation() { return { static_cast<std::uint64_t>(wallNow().count()) }; }
+// Differs between the processes of a host, also after the time of day has jumped back. Incarnations have no order.
+Incarnation makeIncarnation()
+{
+    const std::string seed = absl::StrCat(wallNow().count(), "/", bootNow().count(), "/", getpid());
+    return { XXH64(seed.data(), seed.size(), 0) >> 1 };
+}
 
 } // namespace
 
@@ -33,9 +48,11 @@
     : settings(std::move(gatewaySettings))
     , adapter(platformAdapter)
     , incarnation(makeIncarnation())
-    , http(kMaxResponseBytes)
+    , bodyBudget(std::make_shared<MemoryBudget>(memoryPart(settings, kRequestBodiesDivisor)))
+    , http(memoryPart(settings, kAnswerBodyDivisor), memoryPart(settings, kAnswerBodiesDivisor))
     , directory(settings, adapter, http, incarnation)
-    , hub(settings.peers, Hello { settings.host, incarnation }, std::move(handlers))
+    , hub(settings.peers, Hello { settings.host, incarnation, false }, std::move(handlers),
+          memoryPart(settings, kBacklogDivisor))
 {
 }
 
@@ -83,36 +100,83 @@
 
 } // namespace
 
+namespace {
+
+// Hosts at the front of an order that are remembered. The next one is needed only when all of them cannot take work.
+constexpr std::size_t kRememberedHosts = 4;
+constexpr std::size_t kMaxRememberedNames = 20000;
+
+std::string rankingKey(const std::string& name, const DataCentreName& near, HostOrder hostOrder)
+{
+    return absl::StrCat(name, "\n", near, hostOrder == HostOrder::fastestFirst ? "\n1" : "\n0");
+}
+
+// The order of all hosts, whether or not they can take work; at most `maxHosts` of them.
+std::vector<HostName> rankHosts(const GatewayContext& context, const std::string& name, const DataCentreName& near,
+    HostOrder hostOrder, std::size_t maxHosts)
+{
+    std::vector<HostScore> scores;
+    scores.reserve(context.directory.hosts().size());
+    for (const auto& [host, entry] : context.directory.hosts())
+        scores.push_back(scoreHost(entry, name, near, hostOrder));
+    const std::size_t n = std::min(maxHosts, scores.size());
+    std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(n), scores.end(), precedes);
+    std::vector<HostName> hosts;
+    hosts.reserve(n);
+    for (std::size_t it = 0; it < n; ++it)
+        hosts.push_back(*scores[it].host);
+    return hosts;
+}
+
+// The remembered orders; empty if the hosts have changed since.
+GatewayContext::Rankings& currentRankings(const GatewayContext& context)
+{
+    auto& rankings = context.rankings;
+    if (rankings.hostsVersion != context.directory.hostsVersion() || rankings.first.size() > kMaxRememberedNames) {
+        rankings = {};
+        rankings.hostsVersion = context.directory.hostsVersion();
+    }
+    return rankings;
+}
+
+std::optional<HostName> firstUsable(const GatewayContext& context, const std::vector<HostName>& order)
+{
+    const Millis now = monotonicNow();
+    for (const auto& host : order) {
+        const auto found = context.directory.hosts().find(host);
+        if (found != context.directory.hosts().end() && canTakeWork(context, found->second, now))
+            return host;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
 std::vector<HostName> hostsFor(
     const GatewayContext& context, const std::string& name, const DataCentreName& near, HostOrder hostOrder)
 {
+    auto [it, added] = currentRankings(context).all.try_emplace(rankingKey(name, near, hostOrder));
+    if (added)
+        it->second = rankHosts(context, name, near, hostOrder, context.directory.hosts().size());
     const Millis now = monotonicNow();
-    std::vector<HostScore> scores;
-    for (const auto& [host, entry] : context.directory.hosts()) {
-        if (canTakeWork(context, entry, now))
-            scores.push_back(scoreHost(entry, name, near, hostOrder));
-    }
-    std::sort(scores.begin(), scores.end(), precedes);
     std::vector<HostName> hosts;
-    hosts.reserve(scores.size());
-    for (const auto& it : scores)
-        hosts.push_back(*it.host);
+    for (const auto& host : it->second) {
+        const auto found = context.directory.hosts().find(host);
+        if (found != context.directory.hosts().end() && canTakeWork(context, found->second, now))
+            hosts.push_back(host);
+    }
     return hosts;
 }
 
 std::optional<HostName> firstHostFor(
     const GatewayContext& context, const std::string& name, const DataCentreName& near, HostOrder hostOrder)
 {
-    const Millis now = monotonicNow();
-    std::optional<HostScore> best;
-    for (const auto& [host, entry] : context.directory.hosts()) {
-        if (!canTakeWork(context, entry, now))
-            continue;
-        const HostScore score = scoreHost(entry, name, near, hostOrder);
-        if (!best || precedes(score, *best))
-            best = score;
-    }
-    return best ? std::optional(*best->host) : std::nullopt;
+    auto [it, added] = currentRankings(context).first.try_emplace(rankingKey(name, near, hostOrder));
+    if (added)
+        it->second = rankHosts(context, name, near, hostOrder, kRememberedHosts);
+    if (auto host = firstUsable(context, it->second))
+        return host;
+    return firstUsable(context, rankHosts(context, name, near, hostOrder, context.directory.hosts().size()));
 }
 
 std::string groupName(unsigned group) { return absl::StrCat("#", group); }
@@ -122,27 +186,29 @@
     std::size_t group = 0;
     if (name.empty() || name.front() != '#' || !absl::SimpleAtoi(name.substr(1), &group))
         return nullptr;
-    return group < groups.members.size() ? &groups.members[group] : nullptr;
+    return group < groups.size() ? &groups[group].members : nullptr;
 }
 
 void regroupPools(GatewayContext& context)
 {
     const Millis now = monotonicNow();
     context.groups.clear();
-    std::map<ServiceName, std::vector<const UpstreamInstance*>> instancesByService;
+    std::map<std::pair<ServiceName, DataCentreName>, std::vector<const UpstreamInstance*>> instancesByPlace;
     for (const auto& [name, entry] : context.directory.instances()) {
         if (mayTakeWork(entry, now))
-            instancesByService[entry.instance.service].push_back(&entry.instance);
+            instancesByPlace[{ entry.instance.service, entry.instance.dataCentre }].push_back(&entry.instance);
     }
-    for (const auto& [service, instances] : instancesByService) {
-        PoolGroups& groups = context.groups[service];
+    for (const auto& [place, instances] : instancesByPlace) {
+        PoolGroups& groups = context.groups[place.first];
         const auto groupCount
             = std::max<std::size_t>(1, (instances.size() + kUpstreamsPerGroup / 2) / kUpstreamsPerGroup);
-        groups.slots.resize(groupCount);
-        groups.members.resize(groupCount);
+        const std::size_t first = groups.size();
+        groups.resize(first + groupCount);
         for (std::size_t n = 0; n < instances.size(); ++n) {
-            groups.members[n % groupCount].push_back(instances[n]->id.name);
-            groups.slots[n % groupCount] += instances[n]->slots;
+            PoolGroup& group = groups[first + n % groupCount];
+            group.dataCentre = place.second;
+            group.members.push_back(instances[n]->id.name);
+            group.slots += instances[n]->slots;
         }
     }
 }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 // State that the gateway's components share, and the choice of a host for a piece of work.
@@ -19,18 +20,22 @@
     Millis updatedAt {}; // monotonic clock; `readyIn` of the ranges counts from here
 };
 
-// Groups of a pooled service's upstreams. One host coordinates a group and keeps one queue for it.
-struct PoolGroups {
-    std::vector<std::vector<UpstreamName>> members; // by group
-    std::vector<unsigned> slots; // by group: requests that its members can run concurrently
+// A group of a pooled service's upstreams, all in one data centre. One host coordinates it and keeps one queue for it.
+struct PoolGroup {
+    DataCentreName dataCentre;
+    std::vector<UpstreamName> members;
+    unsigned slots = 0; // requests that its members can run concurrently
 };
 
+using PoolGroups = std::vector<PoolGroup>;
+
 struct GatewayContext {
     GatewayContext(GatewaySettings, const PlatformAdapter&, PeerHub::Handlers);
 
     const GatewaySettings settings;
     const PlatformAdapter& adapter;
     const Incarnation incarnation;
+    const std::shared_ptr<MemoryBudget> bodyBudget; // for bodies of requests in transit
     HttpClient http;
     Metrics metrics;
     Directory directory;
@@ -38,6 +43,13 @@
     std::map<ServiceName, PendingRanges> pending;
     std::map<ServiceName, PoolGroups> groups;
     std::map<HostName, Millis> unreachableUntil; // hosts that get no new work until then: link lost, or stopping
+    // Orders of hosts by name, as computed for the current hosts; see hostsFor() and firstHostFor().
+    struct Rankings {
+        std::uint64_t hostsVersion = 0;
+        std::map<std::string, std::vector<HostName>> all;
+        std::unordered_map<std::string, std::vector<HostName>> first; // the first few hosts
+    };
+    mutable Rankings rankings;
     bool rangesChanged = false; // a leader on this host changed the ranges; waiting requests must be re-evaluated
     bool stopping = false;
 };
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -24,17 +24,19 @@
 // only the chosen host starts a watch, so the store gets few calls.
 constexpr Millis kFirstWatchDelay { 600 };
 // How long an instance still gets work after its entry may have expired during a store outage. The platform restores
-// such entries within 2 s of the store's return; the value is shorter so that a host still meets the platform's bound
-// for upstreams that really leave.
-constexpr Millis kLapsedEntryGrace { 1800 };
+// such entries within about 2 s of the store's return; the grace is shorter than drain_ms, the platform's bound
+// for upstreams that really leave, by this.
+constexpr Millis kLapsedEntryMargin { 200 };
 // An entry deleted within this time after a store failure may have expired because of the outage.
 constexpr Millis kStoreFailureWindow { 4000 };
+constexpr std::size_t kMaxLoggedFaults = 100; // of configurations
 // A host whose entry was deleted stays in use for this long, unless the link to it is lost.
 constexpr Millis kLostHostGrace { 2500 };
 constexpr double kMinWeight = 0.01; // rendezvous hashing divides by the weight
 // How long the entry of a gone instance is kept after new work for it ended, because its endpoint is still needed.
 // Longer than any grant.
 constexpr Millis kGoneInstanceRetention { 15000 };
+constexpr Millis kMaxRemovalInterval { 5000 };
 
 bool beginsWith(const std::string& text, const std::string& prefix)
 {
@@ -245,7 +247,9 @@
                 return {};
             }
             m_routes = std::move(table);
-            logEvent(EventKind::state, "configuration", { { "version", m_routes->version.value } });
+            logEvent(EventKind::state, "configuration",
+                { { "version", m_routes->version.value }, { "faults", m_routes->faults.size() } });
+            logFaults(m_routes->faults);
             return {};
         },
         [&](const DocumentError& error) {
@@ -258,6 +262,16 @@
         });
 }
 
+// Logs each fault of a configuration once in the life of the process, up to a number of them.
+void Directory::logFaults(const std::vector<FieldError>& faults)
+{
+    for (const auto& it : faults) {
+        const std::string text = describe(it);
+        if (m_loggedFaults.size() < kMaxLoggedFaults && m_loggedFaults.insert(text).second)
+            logEvent(EventKind::state, "configuration_fault", { { "fault", text } });
+    }
+}
+
 void Directory::applyUpstream(const UpstreamName& name, const KeyChange& change)
 {
     const Millis now = monotonicNow();
@@ -282,8 +296,9 @@
             return;
         const bool mayHaveLapsed = !change.text && now < m_lastStoreFailureAt + kStoreFailureWindow;
         known->second.entryGone = true;
+        m_nextRemovalAt = Millis(0);
         if (!known->second.noNewWorkFrom)
-            known->second.noNewWorkFrom = mayHaveLapsed ? now + kLapsedEntryGrace : now;
+            known->second.noNewWorkFrom = mayHaveLapsed ? now + Millis(m_settings.limits.drainMs) - kLapsedEntryMargin : now;
         logEvent(EventKind::state, "upstream_entry_gone",
             { { "upstream", name }, { "revision", change.version.value }, { "perhaps_lapsed", mayHaveLapsed } });
         return;
@@ -310,6 +325,7 @@
         const auto known = m_hosts.find(name);
         if (known != m_hosts.end() && !known->second.entryGoneSince) {
             known->second.entryGoneSince = monotonicNow();
+            m_nextRemovalAt = Millis(0);
             logEvent(EventKind::state, "host_entry_gone", { { "peer", name } });
         }
         return;
@@ -321,11 +337,15 @@
     entry.incarnation = { record.value("incarnation", std::uint64_t(0)) };
     entry.weight = std::max(kMinWeight, record.value("weight", 1.0));
     entry.leaving = record.value("leaving", false);
+    entry.version = change.version;
     const auto known = m_hosts.find(name);
     entry.leaving |= known != m_hosts.end() && known->second.leaving && known->second.incarnation == entry.incarnation;
     logEvent(EventKind::state, "host",
         { { "peer", name }, { "incarnation", entry.incarnation.value }, { "leaving", entry.leaving } });
+    const bool sameRank = known != m_hosts.end() && known->second.dataCentre == entry.dataCentre
+        && known->second.weight == entry.weight;
     m_hosts[name] = std::move(entry);
+    m_hostsVersion += !sameRank;
 }
 
 void Directory::applyLeader(const ServiceName& service, const KeyChange& change)
@@ -363,7 +383,7 @@
         logEvent(EventKind::state, "ranges_refused", { { "service", service }, { "revision", change.version.value } });
         return;
     }
-    recordTable(service, { std::move(*table), change.version });
+    recordTable(service, { std::move(*table), change.version, {} });
 }
 
 void Directory::recordTable(const ServiceName& service, StoredTable stored)
@@ -372,6 +392,7 @@
     if (stored.revision <= known.revision)
         return;
     known = std::move(stored);
+    known.receivedAt = bootNow();
 }
 
 void Directory::markHostLeaving(const HostName& host, Incarnation incarnation)
@@ -412,6 +433,7 @@
     if (it == m_instances.end() || it->second.instance.id != id)
         return;
     it->second.entryGone = true;
+    m_nextRemovalAt = Millis(0);
     it->second.noNewWorkFrom = std::min(monotonicNow(), it->second.noNewWorkFrom.value_or(monotonicNow()));
     m_onChange();
 }
@@ -432,15 +454,25 @@
         m_nextHostEntryWriteAt = now + kStoreRetryDelay;
         writeHostEntry();
     }
+    if (now < m_nextRemovalAt)
+        return;
+    m_nextRemovalAt = now + kMaxRemovalInterval;
+    // Removes an entry that is due, and notes when the next one is.
+    const auto isDue = [&](Millis at) {
+        if (now < at)
+            m_nextRemovalAt = std::min(m_nextRemovalAt, at);
+        return now >= at;
+    };
     for (auto it = m_instances.begin(); it != m_instances.end();) {
-        const bool expired = it->second.entryGone && now >= *it->second.noNewWorkFrom + kGoneInstanceRetention;
+        const bool expired = it->second.entryGone && isDue(*it->second.noNewWorkFrom + kGoneInstanceRetention);
         it = expired ? m_instances.erase(it) : std::next(it);
         changed |= expired;
     }
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
-        const bool expired = it->second.entryGoneSince && now >= *it->second.entryGoneSince + kLostHostGrace;
+        const bool expired = it->second.entryGoneSince && isDue(*it->second.entryGoneSince + kLostHostGrace);
         it = expired ? m_hosts.erase(it) : std::next(it);
         changed |= expired;
+        m_hostsVersion += expired;
     }
     if (changed)
         m_onChange();
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -20,6 +20,7 @@
     Incarnation incarnation;
     double weight = 1; // for rendezvous hashing: the processor cores that the host may use
     bool leaving = false;
+    StoreRevision version; // of its entry
     std::optional<Millis> entryGoneSince; // monotonic clock; set once the host's entry is deleted
 };
 
@@ -34,6 +35,7 @@
 struct StoredTable {
     RangeTable table;
     StoreRevision revision;
+    Millis receivedAt {}; // boot clock: when this host learned of it; set by recordTable()
 };
 
 struct InstanceEntry {
@@ -80,6 +82,8 @@
     const std::optional<RoutingTable>& routes() const { return m_routes; }
     const std::map<UpstreamName, InstanceEntry>& instances() const { return m_instances; }
     const std::map<HostName, HostEntry>& hosts() const { return m_hosts; }
+    // Rises with each change of which hosts there are, and of their data centres and weights.
+    std::uint64_t hostsVersion() const { return m_hostsVersion; }
     const LeaderEntry* leaderOf(const ServiceName&) const;
     const StoredTable* tableOf(const ServiceName&) const;
     // Stores a table if it is newer than the known one. It comes from the store, from this host's own write or from the
@@ -112,6 +116,7 @@
     void onWatchBatch(const ChangeBatch&);
     void apply(const KeyChange&);
     void applyConfiguration(const std::string& text);
+    void logFaults(const std::vector<FieldError>&);
     void applyUpstream(const UpstreamName&, const KeyChange&);
     void applyHost(const HostName&, const KeyChange&);
     void applyLeader(const ServiceName&, const KeyChange&);
@@ -133,9 +138,12 @@
     Millis m_watchFailedAt { -100000 };
 
     std::optional<RoutingTable> m_routes;
+    std::set<std::string> m_loggedFaults;
     std::map<UpstreamName, InstanceEntry> m_instances;
     std::set<InstanceId> m_endedInstances; // proven to have ended, even if their entries still exist
     std::map<HostName, HostEntry> m_hosts;
+    std::uint64_t m_hostsVersion = 1;
+    Millis m_nextRemovalAt { 0 }; // monotonic clock: no instance or host is to be removed before
     std::map<ServiceName, LeaderEntry> m_leaders;
     std::map<ServiceName, StoredTable> m_tables;
     std::map<std::string, StoreRevision> m_keyVersions; // by key; older changes are ignored
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -95,7 +95,8 @@
     }
 }
 
-Dispatcher::JobId Dispatcher::submit(const UpstreamName& upstreamOrGroup, Request request, Callback callback)
+Dispatcher::JobId Dispatcher::submit(
+    const UpstreamName& upstreamOrGroup, Request request, Callback callback, FlowingBody rest)
 {
     Pool& pool = findOrCreatePool(request.service, upstreamOrGroup);
     refreshSlots(pool);
@@ -113,6 +114,7 @@
     Job& job = pool.jobs[id];
     job.request = std::move(request);
     job.callback = std::move(callback);
+    job.rest = std::move(rest);
     if (const auto reason = enqueue(pool.queue, pool.policy, waiting, monotonicNow())) {
         finish(pool, id, notRun(*reason, kRefusalRetryAfter));
         return 0;
@@ -166,7 +168,12 @@
     job.instance = entry.instance.id;
     ++pool.members[job.instance].running;
     const Millis left = std::max(Millis(1), job.request.deadline - job.startedAt);
-    job.call = m_context.http.start(m_context.adapter.requestCall(entry.instance, job.request, left),
+    HttpCall call = m_context.adapter.requestCall(entry.instance, job.request, left);
+    call.rest = job.rest.pipe;
+    call.bodyBytes = job.rest.totalBytes;
+    if (job.rest.onStart)
+        job.rest.onStart();
+    job.call = m_context.http.start(std::move(call),
         [this, pool = nameOf(pool), id](HttpOutcome outcome) { onOutcome(pool, id, std::move(outcome)); });
 }
 
@@ -235,12 +242,34 @@
 {
     const Millis now = monotonicNow();
     for (auto& [name, pool] : m_pools) {
+        if (waitingCount(pool.queue) == 0)
+            continue;
         for (const auto& dropped : dropLate(pool.queue, pool.policy, now))
             finish(pool, dropped.id, notRun(RefusalReason::queueFull, kRefusalRetryAfter));
         startWaiting(pool);
     }
 }
 
+Millis Dispatcher::expectedWait(
+    const ServiceName& service, const UpstreamName& upstreamOrGroup, RankOrder order) const
+{
+    const auto found = m_pools.find(service + "/" + upstreamOrGroup);
+    if (found == m_pools.end() || found->second.policy.maxConcurrent == 0
+        || found->second.queue.running < found->second.policy.maxConcurrent)
+        return Millis(0);
+    const Pool& pool = found->second;
+    const auto lane = pool.queue.lanes.find(order);
+    const double runMs = lane == pool.queue.lanes.end() ? kInitialRunMs : lane->second.meanServiceMs;
+    // With every slot taken, even the first in the queue waits for one to become free.
+    return pistachiospur::expectedWait(pool.queue, pool.policy, order)
+        + Millis(static_cast<std::int64_t>(runMs / pool.policy.maxConcurrent));
+}
+
+bool Dispatcher::hasWaiting() const
+{
+    return std::any_of(m_pools.begin(), m_pools.end(), [](const auto& it) { return waitingCount(it.second.queue) > 0; });
+}
+
 // Refuses the waiting requests whose slot has moved to another upstream or is in a pending range. The host that
 // received each of them from its caller then looks for the new owner.
 void Dispatcher::refuseMoved(Pool& pool)
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -11,6 +11,13 @@
 // pooled service has one queue, from which the most urgent request takes the next free slot of an upstream.
 namespace pistachiospur {
 
+// The part of a request's body that is still arriving.
+struct FlowingBody {
+    std::shared_ptr<BodyPipe> pipe; // null if the request has its whole body
+    std::optional<std::uint64_t> totalBytes; // of the whole body; nothing if the caller did not declare it
+    std::function<void()> onStart; // called when the request is sent to an upstream; may be empty
+};
+
 class Dispatcher {
 public:
     using Callback = std::function<void(Reply)>;
@@ -20,7 +27,7 @@
 
     // Queues a request for an upstream or for a group of its pooled service, and sends it at most once. The callback
     // runs exactly once, possibly before this function returns; the result is 0 if the request has finished by then.
-    JobId submit(const UpstreamName&, Request, Callback);
+    JobId submit(const UpstreamName&, Request, Callback, FlowingBody = {});
     // Drops a waiting request. A running request is aborted only if it is idempotent.
     void cancel(JobId);
     // Refuses waiting requests that can no longer meet their deadline, and starts others.
@@ -28,8 +35,11 @@
     // Updates all queues after a change of upstreams or ranges.
     void refresh();
 
+    // Expected wait of a new request of a rank for an upstream or group; zero if a slot is free.
+    Millis expectedWait(const ServiceName&, const UpstreamName&, RankOrder) const;
     // Number of requests that wait or run.
     std::size_t jobCount() const { return m_poolNames.size(); }
+    bool hasWaiting() const;
     // Mean run times of a service's upstreams, measured by this host.
     std::vector<LoadReport::Run> meanRunTimes(const ServiceName&) const;
     void publishMetrics();
@@ -38,6 +48,7 @@
     struct Job {
         Request request;
         Callback callback;
+        FlowingBody rest;
         InstanceId instance; // runs the request; set once `running`
         Millis startedAt {};
         HttpClient::CallId call = 0;
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -28,12 +28,38 @@
 constexpr Millis kHostAvoidTime { 1000 };
 // Retry-After while this host has no configuration.
 constexpr Millis kNoConfigurationRetryAfter { 500 };
+// Retry-After for a route that this version cannot read; another configuration is needed.
+constexpr Millis kUnreadableRouteRetryAfter { 2000 };
 // Retry-After, and expected wait, while a slot has no owner that gets new work.
 constexpr Millis kNoOwnerRetryAfter { 300 };
 // Min Retry-After for a range that has not reached its owner, even if the estimate for that has already passed.
 constexpr Millis kMinRetryAfter { 100 };
 // Deadline of a request whose caller states none.
 constexpr Millis kDefaultDeadline { 10000 };
+// Requests with larger bodies use the links for bodies.
+constexpr std::size_t kMaxControlBodyBytes = 4096;
+// A body that flows is sent in frames of this size, so that those of several requests alternate.
+constexpr std::size_t kBodyFrameBytes = 16u << 10;
+
+std::uint64_t relayId(std::uint64_t request, unsigned attempt)
+{
+    return request << kAttemptBits | (attempt & kAttemptMask);
+}
+
+// Whether a refusal says that the whole group has no room, and not only the upstream that was tried.
+bool isGroupFull(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::queueFull:
+    case RefusalReason::noOwner:
+    case RefusalReason::memoryFull:
+    case RefusalReason::hostUnreachable:
+    case RefusalReason::hostLost:
+        return true;
+    default:
+        return false;
+    }
+}
 
 const char* ranText(const Refusal& refusal) { return refusal.ran == Ran::no ? "no" : "unknown"; }
 
@@ -51,7 +77,7 @@
     // Part of the platform's limits that is used. The rest covers hosts that have just started or count slightly later.
     constexpr double kUsedShare = 0.8;
     const auto& limits = m_context.settings.limits;
-    return { kUsedShare * static_cast<double>(limits.retryRatioPercent) / 100,
+    return { kUsedShare * limits.retryRatio,
         kUsedShare * static_cast<double>(limits.retrySlack) / static_cast<double>(hostCount(m_context)),
         Millis(limits.retryWindowMs) };
 }
@@ -75,9 +101,17 @@
     const PrefixRoute* route = matchRoute(*routes, caller.host, http.path);
     if (!route)
         return notRun(RefusalReason::noRoute);
+    if (!route->isUsable)
+        return notRun(RefusalReason::unreadableRoute, kUnreadableRouteRetryAfter);
     const Millis now = monotonicNow();
-    auto pending = std::make_unique<PendingRequest>(PendingRequest {
-        {}, route->name, route->maxAttempts, responder, now, State::delayed, 0, 0, 0, {}, 0, 0, nullptr, nullptr });
+    auto pending = std::make_unique<PendingRequest>(responder);
+    pending->route = route->name;
+    pending->maxAttempts = route->maxAttempts;
+    pending->receivedAt = http.receivedAt;
+    pending->rest = std::move(http.rest);
+    pending->bodyCharge = std::move(http.bodyCharge);
+    if (const auto length = http.headers.find("content-length"); length != http.headers.end() && pending->rest)
+        pending->bodyBytes = std::strtoull(length->second.c_str(), nullptr, 10);
     Request& request = pending->request;
     request.id = caller.requestId;
     request.service = chooseService(m_splitState, *route);
@@ -86,7 +120,8 @@
     request.idempotent = route->idempotent;
     request.targetLatency = route->targetLatency;
     request.slot = caller.slot.value_or(SlotId {});
-    request.deadline = now + std::min(caller.timeLeft.value_or(kDefaultDeadline) - kReturnMargin, route->timeout);
+    request.deadline
+        = http.receivedAt + std::min(caller.timeLeft.value_or(kDefaultDeadline) - kReturnMargin, route->timeout);
     request.method = std::move(http.method);
     request.target = std::move(http.target);
     request.headers = { http.headers.begin(), http.headers.end() };
@@ -96,18 +131,39 @@
     return pending;
 }
 
+std::optional<HttpResponse> GatewayFrontend::checkHead(
+    const HttpRequest& http, std::optional<std::uint64_t> bodyBytes)
+{
+    const CallerMetadata caller = m_context.adapter.readCallerMetadata(http);
+    std::optional<Refusal> refusal;
+    const auto& routes = m_context.directory.routes();
+    if (!routes)
+        refusal = notRun(RefusalReason::noOwner, kNoConfigurationRetryAfter);
+    else if (bodyBytes.value_or(0) > routes->limits.bodyBytes)
+        refusal = notRun(RefusalReason::tooLarge);
+    else if (!matchRoute(*routes, caller.host, http.path))
+        refusal = notRun(RefusalReason::noRoute);
+    if (!refusal)
+        return std::nullopt;
+    return refuseAtOnce(caller, *refusal);
+}
+
+// Logs and counts a request that is refused on arrival, and returns the response.
+HttpResponse GatewayFrontend::refuseAtOnce(const CallerMetadata& caller, const Refusal& refusal)
+{
+    m_context.metrics.count("pistachiospur_refusals_total", { { "reason", factsOf(refusal.reason).name } });
+    logEvent(EventKind::request, "refused_at_frontend",
+        { { "request", caller.requestId }, { "caller_host", caller.host }, { "reason", factsOf(refusal.reason).name },
+            { "configuration", m_context.directory.routes() ? m_context.directory.routes()->version.value : 0 } });
+    return m_context.adapter.refusalResponse(refusal);
+}
+
 void GatewayFrontend::onCaller(HttpRequest http, const Responder& responder)
 {
     const CallerMetadata caller = m_context.adapter.readCallerMetadata(http);
     auto admitted = admit(std::move(http), caller, responder);
-    if (const auto* refusal = std::get_if<Refusal>(&admitted)) {
-        m_context.metrics.count("pistachiospur_refusals_total", { { "reason", factsOf(refusal->reason).name } });
-        logEvent(EventKind::request, "refused_at_frontend",
-            { { "request", caller.requestId }, { "caller_host", caller.host },
-                { "reason", factsOf(refusal->reason).name },
-                { "configuration", m_context.directory.routes() ? m_context.directory.routes()->version.value : 0 } });
-        return respond(responder, m_context.adapter.refusalResponse(*refusal));
-    }
+    if (const auto* refusal = std::get_if<Refusal>(&admitted))
+        return respond(responder, refuseAtOnce(caller, *refusal));
     auto& pending = std::get<std::unique_ptr<PendingRequest>>(admitted);
     const Request& request = pending->request;
     countRequest(m_retryWindowBudgets[request.service], retryWindowPolicy(), monotonicNow());
@@ -134,8 +190,12 @@
     PendingRequest& pending = *m_pending.at(id);
     Request& request = pending.request;
     const unsigned attemptNumber = ++pending.attempt;
-    if (!isKeyed(request.service))
-        return forward(id, chooseGroup(request), "");
+    if (!isKeyed(request.service)) {
+        pending.group = chooseGroupFor(pending);
+        const auto groups = m_context.groups.find(request.service);
+        const bool known = groups != m_context.groups.end() && *pending.group < groups->second.size();
+        return forward(id, groupName(*pending.group), known ? groups->second[*pending.group].dataCentre : "");
+    }
     const StoredTable* stored = m_context.directory.tableOf(request.service);
     const Range* range = stored ? findRange(stored->table, request.slot) : nullptr;
     if (!range)
@@ -150,15 +210,38 @@
     forward(id, range->owner.name, owner->instance.dataCentre);
 }
 
-// Draws a group of a pooled service at random, weighted by the groups' slots.
-UpstreamName GatewayFrontend::chooseGroup(const Request& request)
+unsigned GatewayFrontend::chooseGroupFor(const PendingRequest& pending)
 {
-    const auto groups = m_context.groups.find(request.service);
+    const auto groups = m_context.groups.find(pending.request.service);
     if (groups == m_context.groups.end())
-        return groupName(0);
-    const auto& slots = groups->second.slots;
-    std::discrete_distribution<unsigned> distribution(slots.begin(), slots.end());
-    return groupName(distribution(m_random));
+        return 0;
+    auto& loads = m_groupLoads[pending.request.service];
+    loads.resize(groups->second.size());
+    const Millis now = monotonicNow();
+    std::vector<GroupTarget> targets;
+    for (unsigned n = 0; n < loads.size(); ++n) {
+        const PoolGroup& group = groups->second[n];
+        targets.push_back({ group.slots, group.dataCentre == m_context.settings.dataCentre,
+            pending.refusedGroups.count(n) > 0, waitNow(loads[n], now) });
+    }
+    std::uniform_real_distribution<double> draws(0, 1);
+    return static_cast<unsigned>(chooseGroup(targets, pending.request.targetLatency, draws(m_random)));
+}
+
+// Notes how long the next request would wait at the group that replied.
+void GatewayFrontend::recordGroupLoad(PendingRequest& pending, const Reply& reply, Millis wait)
+{
+    const auto group = std::exchange(pending.group, std::nullopt);
+    auto& loads = m_groupLoads[pending.request.service];
+    if (!group || *group >= loads.size())
+        return;
+    const auto* refusal = std::get_if<Refusal>(&reply);
+    const bool refused = refusal && isGroupFull(refusal->reason);
+    loads[*group] = { refused ? std::max(kRefusedWaitMs, static_cast<double>(wait.count()))
+                              : static_cast<double>(wait.count()),
+        monotonicNow() };
+    if (refusal)
+        pending.refusedGroups.insert(*group);
 }
 
 void GatewayFrontend::waitForRange(RequestId id, Millis readyIn)
@@ -182,46 +265,93 @@
                                      .value_or(m_context.settings.host);
     pending.coordinator = coordinator;
     if (!isSelf(m_context, coordinator)) {
-        Relay relay { id << kAttemptBits | (attemptNumber & kAttemptMask), upstream, pending.request };
+        Relay relay { relayId(id, attemptNumber), upstream, pending.request, pending.rest != nullptr,
+            pending.bodyBytes };
         relay.request.deadline -= monotonicNow();
-        const auto link = m_context.hub.send(coordinator, relay);
+        const Lane lane = pending.request.body.size() > kMaxControlBodyBytes ? Lane::bulk : Lane::control;
+        const auto link = m_context.hub.send(coordinator, relay, lane);
         if (!link)
             return onReply(id, attemptNumber, notRun(RefusalReason::hostUnreachable));
         pending.link = *link;
         return;
     }
-    const auto job = m_dispatcher.submit(upstream, pending.request,
-        [this, id, attemptNumber](Reply reply) { onReply(id, attemptNumber, std::move(reply)); });
+    const auto job = m_dispatcher.submit(
+        upstream, pending.request,
+        [this, id, attemptNumber, upstream, service = pending.request.service, order = pending.request.order](
+            Reply reply) {
+            const Millis wait = m_dispatcher.expectedWait(service, upstream, order);
+            onReply(id, attemptNumber, std::move(reply), wait);
+        },
+        { pending.rest, pending.bodyBytes, nullptr });
     const auto found = m_pending.find(id);
     if (found != m_pending.end() && found->second->attempt == attemptNumber)
         found->second->job = job;
 }
 
+void GatewayFrontend::onBodyCredit(const RelayBodyCredit& credit)
+{
+    const RequestId id = credit.id >> kAttemptBits;
+    const auto it = m_pending.find(id);
+    if (it == m_pending.end() || !it->second->rest || credit.id != relayId(id, it->second->attempt))
+        return;
+    it->second->bodyCredit += credit.bytes;
+    it->second->rest->onData([this, id] { sendBody(id); });
+    sendBody(id);
+}
+
+// Sends what has arrived of a body, as far as the coordinator has given credit. Reading from the pipe lets more arrive,
+// which calls this function again; the outer call sends that too.
+void GatewayFrontend::sendBody(RequestId id)
+{
+    const auto it = m_pending.find(id);
+    if (it == m_pending.end() || it->second->link == kNoLink || it->second->sendingBody)
+        return;
+    PendingRequest& pending = *it->second;
+    const std::shared_ptr<BodyPipe> rest = pending.rest;
+    const std::uint64_t relay = relayId(id, pending.attempt);
+    pending.sendingBody = true;
+    while (pending.bodyCredit > 0) {
+        std::string data = rest->read(std::min<std::uint64_t>(pending.bodyCredit, kBodyFrameBytes));
+        if (data.empty())
+            break;
+        pending.bodyCredit -= data.size();
+        m_context.hub.sendVia(pending.link, RelayBody { relay, std::move(data), RelayBody::End::none });
+    }
+    pending.sendingBody = false;
+    const bool broken = rest->state() == BodyPipe::State::broken;
+    if ((broken || rest->isAtEnd()) && !std::exchange(pending.bodyEndSent, true))
+        m_context.hub.sendVia(
+            pending.link, RelayBody { relay, {}, broken ? RelayBody::End::broken : RelayBody::End::complete });
+}
+
 void GatewayFrontend::onRelayReply(const HostName& from, RelayReply reply)
 {
     const auto* refusal = std::get_if<Refusal>(&reply.reply);
     if (refusal && refusal->reason == RefusalReason::stopping)
         m_context.unreachableUntil[from] = monotonicNow() + kHostAvoidTime;
-    onReply(reply.id >> kAttemptBits, static_cast<unsigned>(reply.id) & kAttemptMask, std::move(reply.reply));
+    onReply(
+        reply.id >> kAttemptBits, static_cast<unsigned>(reply.id) & kAttemptMask, std::move(reply.reply), reply.wait);
 }
 
 void GatewayFrontend::onLinkLost(const LostLink& lost)
 {
     m_context.unreachableUntil[lost.host] = monotonicNow() + kHostAvoidTime;
-    std::vector<std::pair<RequestId, unsigned>> affected;
+    std::vector<std::tuple<RequestId, unsigned, LinkLoss>> affected;
     for (const auto& [id, pending] : m_pending) {
-        if (pending->link == lost.link && pending->coordinator == lost.host)
-            affected.emplace_back(id, pending->attempt & kAttemptMask);
+        const LinkLoss loss = lossOf(lost, pending->link);
+        if (loss != LinkLoss::unaffected)
+            affected.emplace_back(id, pending->attempt & kAttemptMask, loss);
     }
     logEvent(EventKind::state, "link_lost",
-        { { "peer", lost.host }, { "opened", lost.opened }, { "requests", affected.size() } });
-    for (const auto& [id, attempt] : affected)
-        onReply(id, attempt, lost.opened ? maybeRun(RefusalReason::hostLost) : notRun(RefusalReason::hostUnreachable));
+        { { "peer", lost.host }, { "opened", !lost.links.empty() }, { "requests", affected.size() } });
+    for (const auto& [id, attempt, loss] : affected)
+        onReply(id, attempt,
+            loss == LinkLoss::sent ? maybeRun(RefusalReason::hostLost) : notRun(RefusalReason::hostUnreachable));
 }
 
 // Handles the reply to one attempt: answers the caller or schedules the next attempt. A reply to an earlier attempt is
 // ignored.
-void GatewayFrontend::onReply(RequestId id, unsigned attempt, Reply reply)
+void GatewayFrontend::onReply(RequestId id, unsigned attempt, Reply reply, Millis wait)
 {
     const auto it = m_pending.find(id);
     if (it == m_pending.end() || (it->second->attempt & kAttemptMask) != (attempt & kAttemptMask)) {
@@ -229,9 +359,11 @@
         return;
     }
     PendingRequest& pending = *it->second;
-    pending.link = 0;
+    pending.link = kNoLink;
     pending.job = 0;
     pending.coordinator.clear();
+    pending.bodyCredit = 0;
+    recordGroupLoad(pending, reply, wait);
     const auto* refusal = std::get_if<Refusal>(&reply);
     if (!refusal)
         return complete(id, std::move(reply));
@@ -266,6 +398,9 @@
     const Millis now = monotonicNow();
     if (now + kConnectRetryDelay >= request.deadline || pending.refusedAttempts >= kMaxTotalAttempts)
         return false;
+    // What has been sent of a body that flows is not kept, so the request cannot be sent again.
+    if (pending.rest && pending.rest->wasRead())
+        return false;
     if (refusal.ran == Ran::unknown) {
         return request.idempotent && refusal.reason != RefusalReason::upstreamTimeout
             && pending.possibleRuns < pending.maxAttempts
@@ -282,11 +417,12 @@
     case RefusalReason::upstreamShed:
         return pending.refusedAttempts < std::max(2u, pending.maxAttempts)
             && spendRetry(m_retryWindowBudgets[request.service], retryWindowPolicy(), now);
+    case RefusalReason::memoryFull:
     case RefusalReason::queueFull: {
         // Another group may have a free place in its queue.
         const auto groups = m_context.groups.find(request.service);
         return pending.refusedAttempts < 2 && !isKeyed(request.service) && groups != m_context.groups.end()
-            && groups->second.slots.size() > 1;
+            && groups->second.size() > 1;
     }
     default:
         return false;
@@ -327,12 +463,11 @@
     PendingRequest& pending = *m_pending.at(id);
     const bool mayHaveRun = pending.state == State::forwarded || pending.possibleRuns > 0;
     const LinkId link = pending.link;
-    const HostName coordinator = pending.coordinator;
     const auto job = pending.job;
-    const std::uint64_t relay = id << kAttemptBits | (pending.attempt & kAttemptMask);
+    const std::uint64_t relay = relayId(id, pending.attempt);
     complete(id, mayHaveRun ? maybeRun(RefusalReason::upstreamTimeout) : notRun(RefusalReason::deadlinePassed));
-    if (link)
-        m_context.hub.send(coordinator, RelayCancel { relay });
+    if (link != kNoLink)
+        m_context.hub.sendVia(link, RelayCancel { relay });
     if (job)
         m_dispatcher.cancel(job);
 }
@@ -353,6 +488,8 @@
     const auto pending = std::move(m_pending.at(id));
     m_pending.erase(id);
     const Request& request = pending->request;
+    if (pending->rest)
+        pending->rest->breakOff();
     const Millis took = monotonicNow() - pending->receivedAt;
     const auto* refusal = std::get_if<Refusal>(&reply);
     const char* outcome = refusal ? (refusal->ran == Ran::no ? "refused" : "unknown") : "answered";
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -2,11 +2,13 @@
 
 #include "dispatch.h"
 #include "requests/budget.h"
+#include "requests/spread.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 // Handles each request that a caller sends to this host, from receipt to answer: it matches the request to a route and
@@ -19,7 +21,11 @@
     GatewayFrontend(GatewayContext&, Dispatcher&);
 
     void onCaller(HttpRequest, const Responder&);
+    // Refuses a request with a body before the body is read, if its head shows that it cannot be served.
+    std::optional<HttpResponse> checkHead(const HttpRequest&, std::optional<std::uint64_t> bodyBytes);
     void onRelayReply(const HostName& from, RelayReply);
+    // The host that coordinates a request can take more of its body.
+    void onBodyCredit(const RelayBodyCredit&);
     void onLinkLost(const LostLink&);
     // Starts a new attempt for each request that waits for its range. Called after a change of upstreams or ranges.
     void refresh();
@@ -37,6 +43,10 @@
     };
 
     struct PendingRequest {
+        explicit PendingRequest(Responder caller)
+            : responder(std::move(caller))
+        {
+        }
         Request request;
         std::string route;
         unsigned maxAttempts = 1; // sends to upstreams that the route allows
@@ -48,6 +58,14 @@
         unsigned refusedAttempts = 0;
         HostName coordinator; // that the request is forwarded to
         LinkId link = 0; // that the request was sent on; 0 if on none
+        std::optional<unsigned> group; // of the pooled service that the current attempt goes to
+        std::set<unsigned> refusedGroups;
+        std::shared_ptr<BodyPipe> rest; // of a body that flows; null if the request has its whole body
+        std::optional<std::uint64_t> bodyBytes; // size of a body that flows, if the caller declared it
+        std::uint64_t bodyCredit = 0; // bytes that the coordinator can take
+        bool sendingBody = false;
+        bool bodyEndSent = false;
+        std::shared_ptr<void> bodyCharge;
         Dispatcher::JobId job = 0; // of this host's dispatcher; 0 if none
         std::unique_ptr<Timer> deadlineTimer;
         std::unique_ptr<Timer> delayTimer; // starts the next attempt
@@ -55,12 +73,15 @@
 
     std::variant<std::unique_ptr<PendingRequest>, Refusal> admit(
         HttpRequest&&, const CallerMetadata&, const Responder&);
+    HttpResponse refuseAtOnce(const CallerMetadata&, const Refusal&);
     bool isKeyed(const ServiceName&) const;
     void startAttempt(RequestId);
     void forward(RequestId, const UpstreamName&, const DataCentreName& preferredDataCentre);
-    UpstreamName chooseGroup(const Request&);
+    unsigned chooseGroupFor(const PendingRequest&);
+    void recordGroupLoad(PendingRequest&, const Reply&, Millis wait);
+    void sendBody(RequestId);
     void waitForRange(RequestId, Millis readyIn);
-    void onReply(RequestId, unsigned attempt, Reply);
+    void onReply(RequestId, unsigned attempt, Reply, Millis wait = Millis(0));
     bool approveRetry(PendingRequest&, const Refusal&);
     void scheduleAttempt(RequestId, Millis delay);
     void onDeadline(RequestId);
@@ -74,6 +95,7 @@
     std::unordered_map<RequestId, std::unique_ptr<PendingRequest>> m_pending;
     std::map<ServiceName, RetryWindowBudget> m_retryWindowBudgets;
     std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> m_slotCounts; // requests, by service and slot
+    std::map<ServiceName, std::vector<GroupLoad>> m_groupLoads; // by group
     SplitState m_splitState;
     std::mt19937_64 m_random;
     RequestId m_nextId = 1;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -16,7 +17,9 @@
 
 namespace {
 
-constexpr Millis kTickInterval { 25 };
+// Interval of the checks for what has become due, on a host that leads ranges or queues requests, and on any other.
+constexpr Millis kBusyTickInterval { 25 };
+constexpr Millis kIdleTickInterval { 100 };
 constexpr Millis kLoadReportInterval { 500 };
 constexpr Millis kStopCheckInterval { 50 };
 // The load balancer sends connections to a stopping host until two readiness checks, one second apart, have failed.
@@ -28,6 +31,10 @@
 constexpr Millis kPeerNoticeTime { 300 };
 // Max wait for the store to end the host's lease. Without an answer the lease expires by itself.
 constexpr Millis kLeaseEndTimeout { 300 };
+// Answers with larger bodies use the links for bodies.
+constexpr std::size_t kMaxControlBodyBytes = 4096;
+// Retry-After when bodies in transit use all their memory: some of them end within this time.
+constexpr Millis kMemoryRetryAfter { 500 };
 constexpr std::size_t kMaxCallerBodyBytes = 64u << 20;
 constexpr std::size_t kMaxAdminBodyBytes = 4096;
 
@@ -46,7 +53,8 @@
     , m_frontend(m_context, m_dispatcher)
     , m_callerServer(settings.callers, kMaxCallerBodyBytes,
           [this](
-              HttpRequest request, const Responder& responder) { m_frontend.onCaller(std::move(request), responder); })
+              HttpRequest request, const Responder& responder) { m_frontend.onCaller(std::move(request), responder); },
+          static_cast<unsigned>(settings.limits.descriptors / 2))
     , m_readyServer(settings.ready, kMaxAdminBodyBytes,
           [this](const HttpRequest&, const Responder& responder) {
               const bool ready = m_context.directory.routes() && !m_context.stopping;
@@ -61,6 +69,12 @@
     , m_interrupt(SIGINT, [this] { beginStop(); })
     , m_hangUp(SIGHUP, [this] { checkSettingsFile(); })
 {
+    m_callerServer.setHeadCheck([this](const HttpRequest& request, std::optional<std::uint64_t> bodyBytes) {
+        return m_frontend.checkHead(request, bodyBytes);
+    });
+    m_callerServer.setBodyBudget(m_context.bodyBudget, [this] {
+        return m_context.adapter.refusalResponse(notRun(RefusalReason::memoryFull, kMemoryRetryAfter));
+    });
 }
 
 PeerHub::Handlers Gateway::peerHandlers()
@@ -81,7 +95,7 @@
         { { "callers", settings.callers.text() }, { "peers", settings.peers.text() },
             { "store", settings.store.text() }, { "incarnation", m_context.incarnation.value } });
     m_context.directory.start([this] { onDirectoryChange(); });
-    m_tickTimer.every(kTickInterval);
+    m_tickTimer.once(kBusyTickInterval);
     m_loadReportTimer.every(kLoadReportInterval);
 }
 
@@ -101,8 +115,11 @@
                 m_leaders[name] = std::make_unique<RangeLeader>(m_context, name);
         }
     }
-    if (routes)
-        m_callerServer.setIdleTimeout(routes->limits.idleTimeout);
+    if (routes) {
+        const CallerLimits& limits = routes->limits;
+        m_callerServer.setLimits(
+            { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout, true });
+    }
     regroupPools(m_context);
     m_dispatcher.refresh();
     m_frontend.refresh();
@@ -121,6 +138,15 @@
         m_frontend.refresh();
     }
     m_dispatcher.tick();
+    m_tickTimer.once(isBusy() ? kBusyTickInterval : kIdleTickInterval);
+}
+
+// Whether something may become due within a few milliseconds.
+bool Gateway::isBusy() const
+{
+    const bool leads
+        = std::any_of(m_leaders.begin(), m_leaders.end(), [](const auto& it) { return it.second->needsTicks(); });
+    return leads || m_dispatcher.hasWaiting() || !m_context.directory.hasHostEntry();
 }
 
 void Gateway::onMessage(const HostName& from, LinkId link, Message message)
@@ -130,11 +156,9 @@
             [&](const Hello&) { m_context.unreachableUntil.erase(from); },
             [&](Relay& received) { onRelay(from, link, std::move(received)); },
             [&](RelayReply& received) { m_frontend.onRelayReply(from, std::move(received)); },
-            [&](const RelayCancel& received) {
-                const auto found = m_relayedRequests.find({ from, received.id });
-                if (found != m_relayedRequests.end())
-                    m_dispatcher.cancel(found->second.job);
-            },
+            [&](const RelayCancel& received) { onRelayCancel({ from, received.id }); },
+            [&](const RelayBody& received) { onRelayBody(from, received); },
+            [&](const RelayBodyCredit& received) { m_frontend.onBodyCredit(received); },
             [&](const LoadReport& report) {
                 const auto leader = m_leaders.find(report.service);
                 if (leader != m_leaders.end())
@@ -161,30 +185,92 @@
 void Gateway::onRelay(const HostName& from, LinkId link, Relay relay)
 {
     if (m_context.stopping && monotonicNow() >= m_stopRequestedAt + kPeerNoticeTime) {
-        m_context.hub.send(from, RelayReply { relay.id, notRun(RefusalReason::stopping) });
+        m_context.hub.send(from, RelayReply { relay.id, notRun(RefusalReason::stopping), Millis(0) });
         return;
     }
     relay.request.deadline += monotonicNow();
-    const auto key = std::pair(from, relay.id);
-    const auto job = m_dispatcher.submit(relay.upstream, std::move(relay.request), [this, key](Reply reply) {
-        m_relayedRequests.erase(key);
-        m_context.hub.send(key.first, RelayReply { key.second, std::move(reply) });
-    });
-    if (job)
-        m_relayedRequests[key] = { job, link };
+    const RelayKey key(from, relay.id);
+    RelayedRequest relayed;
+    relayed.link = link;
+    const auto charge = std::make_shared<BodyCharge>(m_context.bodyBudget);
+    if (!charge->take(relay.request.body.size())) {
+        m_context.hub.send(from, RelayReply { relay.id, notRun(RefusalReason::memoryFull, kMemoryRetryAfter), Millis(0) });
+        return;
+    }
+    relayed.bodyCharge = charge;
+    FlowingBody rest;
+    if (relay.flows) {
+        relayed.rest = rest.pipe = std::make_shared<BodyPipe>();
+        rest.totalBytes = relay.bodyBytes;
+        rest.onStart = [this, key] {
+            m_context.hub.send(key.first, RelayBodyCredit { key.second, kBodyWindowBytes });
+        };
+        rest.pipe->onRead([this, key](std::size_t bytes) { onRelayedBodyRead(key, bytes); });
+    }
+    const auto waitAfter = [this, service = relay.request.service, upstream = relay.upstream,
+                               order = relay.request.order] { return m_dispatcher.expectedWait(service, upstream, order); };
+    relayed.job = m_dispatcher.submit(
+        relay.upstream, std::move(relay.request),
+        [this, key, waitAfter](Reply reply) {
+            m_relayedRequests.erase(key);
+            const auto* answer = std::get_if<Answer>(&reply);
+            const Lane lane = answer && answer->body.size() > kMaxControlBodyBytes ? Lane::bulk : Lane::control;
+            m_context.hub.send(key.first, RelayReply { key.second, std::move(reply), waitAfter() }, lane);
+        },
+        std::move(rest));
+    if (relayed.job)
+        m_relayedRequests[key] = std::move(relayed);
+}
+
+void Gateway::onRelayBody(const HostName& from, const RelayBody& body)
+{
+    const auto found = m_relayedRequests.find({ from, body.id });
+    if (found == m_relayedRequests.end() || !found->second.rest)
+        return;
+    const std::shared_ptr<BodyPipe> rest = found->second.rest; // a write can end the request
+    rest->write(body.data);
+    if (body.end == RelayBody::End::complete)
+        rest->finish();
+    else if (body.end == RelayBody::End::broken)
+        rest->breakOff();
+}
+
+// Gives credit for what was sent on to the upstream, in parts that keep the link busy.
+void Gateway::onRelayedBodyRead(const RelayKey& key, std::size_t bytes)
+{
+    const auto found = m_relayedRequests.find(key);
+    if (found == m_relayedRequests.end())
+        return;
+    std::uint64_t& read = found->second.readBytes;
+    read += bytes;
+    if (read >= kBodyWindowBytes / 4)
+        m_context.hub.send(key.first, RelayBodyCredit { key.second, std::exchange(read, 0) });
+}
+
+// Ends a request that its sender has given up. One that must not be aborted, because it may have an effect, runs on;
+// but without its whole body it cannot come to an end.
+void Gateway::onRelayCancel(const RelayKey& key)
+{
+    const auto found = m_relayedRequests.find(key);
+    if (found == m_relayedRequests.end())
+        return;
+    const auto job = found->second.job;
+    if (const auto rest = found->second.rest; rest && rest->state() == BodyPipe::State::open)
+        rest->breakOff();
+    m_dispatcher.cancel(job);
 }
 
 // Cancels the requests that arrived over a lost link, because the peer has given them up.
 void Gateway::onLinkLost(const LostLink& lost)
 {
     m_frontend.onLinkLost(lost);
-    std::vector<Dispatcher::JobId> orphans;
+    std::vector<RelayKey> orphans;
     for (const auto& [key, relayed] : m_relayedRequests) {
-        if (key.first == lost.host && relayed.link == lost.link)
-            orphans.push_back(relayed.job);
+        if (lossOf(lost, relayed.link) != LinkLoss::unaffected)
+            orphans.push_back(key);
     }
-    for (const auto job : orphans)
-        m_dispatcher.cancel(job);
+    for (const auto& key : orphans)
+        onRelayCancel(key);
 }
 
 // Applies a leader's update to the known range table and to the pending ranges. If the update's base is not the known
@@ -196,7 +282,7 @@
         return;
     const StoredTable* known = m_context.directory.tableOf(update.service);
     if (known && known->revision == update.base && known->revision < update.revision) {
-        StoredTable next { applyChanges(known->table, update.changes), update.revision };
+        StoredTable next { applyChanges(known->table, update.changes), update.revision, {} };
         if (coversEverySlot(next.table.ranges))
             m_context.directory.recordTable(update.service, std::move(next));
     }
@@ -262,6 +348,10 @@
         directory.routes() ? static_cast<double>(directory.routes()->version.value) : 0);
     m_context.metrics.set("pistachiospur_store_revision", {}, static_cast<double>(directory.revision().value));
     m_context.metrics.set("pistachiospur_hosts_alive", {}, static_cast<double>(directory.hosts().size()));
+    publishTraffic(m_context.metrics, m_context.hub);
+    m_context.metrics.set("pistachiospur_body_bytes", {}, static_cast<double>(m_context.bodyBudget->used()));
+    m_context.metrics.set("pistachiospur_configuration_faults", {},
+        directory.routes() ? static_cast<double>(directory.routes()->faults.size()) : 0);
     m_context.metrics.set("pistachiospur_peer_links", {}, static_cast<double>(m_context.hub.linkCount()));
     return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.text() };
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,15 +28,23 @@
     struct RelayedRequest {
         Dispatcher::JobId job = 0;
         LinkId link = 0; // that it arrived on
+        std::shared_ptr<BodyPipe> rest; // of a body that flows; null if the request came with its whole body
+        std::uint64_t readBytes = 0; // of the body since the last credit
+        std::shared_ptr<void> bodyCharge;
     };
+    using RelayKey = std::pair<HostName, std::uint64_t>; // sender and relay id
 
     void onMessage(const HostName& from, LinkId, Message);
     void onRelay(const HostName& from, LinkId, Relay);
+    void onRelayBody(const HostName& from, const RelayBody&);
+    void onRelayCancel(const RelayKey&);
+    void onRelayedBodyRead(const RelayKey&, std::size_t bytes);
     void onLinkLost(const LostLink&);
     void onRangeUpdate(RangeUpdate);
     void onDirectoryChange();
     void sendLoadReports();
     void tick();
+    bool isBusy() const;
     HttpResponse answerAdmin(const HttpRequest&);
     HttpResponse statusReport() const;
     void beginStop();
@@ -61,7 +69,7 @@
     SignalWatcher m_terminate;
     SignalWatcher m_interrupt;
     SignalWatcher m_hangUp;
-    std::map<std::pair<HostName, std::uint64_t>, RelayedRequest> m_relayedRequests; // by sender and relay id
+    std::map<RelayKey, RelayedRequest> m_relayedRequests;
 };
 
 } // namespace pistachiospur
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t kOwnersPerMove = 10;
 constexpr Millis kQueryInterval { 300 };
 constexpr Millis kResignRetry { 300 };
-// Upper bound on the difference between the wall clocks of two hosts, steps included.
-constexpr Millis kMaxWallClockSkew { 6000 };
 // Request counts are multiplied by the factor at each interval, so that loads follow about 1.5 s of traffic: short
 // enough to move a key that becomes hot within that time, long enough to count about 30 requests of a moderately busy
 // upstream.
@@ -83,8 +81,9 @@
     return m_context.settings.host + "#" + std::to_string(m_context.incarnation.value);
 }
 
-// Whether the process that wrote a table is known to have ended: a later incarnation of its host is known. Writer names
-// begin with "HOST#INCARNATION". This host's own earlier leadership has always ended, so its own name counts as well.
+// Whether the process that wrote a table is known to have ended: its host's entry is from another process, and is newer
+// than the table. Writer names begin with "HOST#INCARNATION". This host's own earlier leadership has always ended, so its
+// own name counts as well.
 bool RangeLeader::hasWriterEnded(const std::string& writer) const
 {
     const auto separator = writer.find('#');
@@ -95,7 +94,8 @@
     if (isSelf(m_context, host))
         return true;
     const auto found = m_context.directory.hosts().find(host);
-    return found != m_context.directory.hosts().end() && found->second.incarnation.value > incarnation;
+    return found != m_context.directory.hosts().end() && found->second.incarnation.value != incarnation
+        && found->second.version > m_loadedRevision;
 }
 
 // Until when grants of previous leaders may be valid. A previous leader that has not confirmed that it stopped is
@@ -109,13 +109,16 @@
     return stopped + Millis(limits.orderTimeoutMs) + longestGrant(m_earlierGrantTtl);
 }
 
-void RangeLeader::loadPreviousLeaders(const RangeTable& table)
+// The lease of the table's writer has ended by now, since this host leads. Those of the writers before it had ended for
+// some time when the table was written, which was at the latest when it arrived here.
+void RangeLeader::loadPreviousLeaders(const StoredTable& stored)
 {
     m_previousLeaders.clear();
-    m_previousLeaders[table.writer].leaseEndedBy = wallNow();
-    for (const auto& it : table.previousWriters)
-        m_previousLeaders[it.writer].leaseEndedBy = it.leaseEndedBy;
-    m_earlierGrantTtl = table.grantTtl;
+    m_previousLeaders[stored.table.writer].leaseEndedBy = bootNow();
+    for (const auto& it : stored.table.previousWriters)
+        m_previousLeaders[it.writer].leaseEndedBy = stored.receivedAt - it.leaseEndedFor;
+    m_earlierGrantTtl = stored.table.grantTtl;
+    m_loadedRevision = stored.revision;
     checkPreviousLeaders();
 }
 
@@ -133,8 +136,7 @@
     for (auto& [writer, leader] : m_previousLeaders) {
         if (leader.stoppedAt)
             continue;
-        const bool outageOver
-            = bootNow() >= m_leaderSince + outage || wallNow() >= leader.leaseEndedBy + outage + kMaxWallClockSkew;
+        const bool outageOver = bootNow() >= std::min(m_leaderSince, leader.leaseEndedBy) + outage;
         if (outageOver || hasWriterEnded(writer))
             leader.stoppedAt = bootNow();
         else if (queryNow)
@@ -387,7 +389,7 @@
     if (!m_tableWritten) {
         const StoredTable* stored = m_context.directory.tableOf(m_service);
         m_tableRevision = stored ? stored->revision : StoreRevision {};
-        loadPreviousLeaders(stored ? stored->table : RangeTable {});
+        loadPreviousLeaders(stored ? *stored : StoredTable {});
         m_announcedRanges = stored ? stored->table.ranges : std::vector<Range>();
         m_announcedRevision = m_tableRevision;
         std::vector<Range> ranges = stored ? stored->table.ranges : initialRanges();
@@ -415,7 +417,7 @@
         table.grantTtl = std::max({ grantTtlFor(table.ranges.size()), m_table.grantTtl, m_earlierGrantTtl });
         for (const auto& [writer, leader] : m_previousLeaders) {
             if (!leader.stoppedAt)
-                table.previousWriters.push_back({ writer, leader.leaseEndedBy });
+                table.previousWriters.push_back({ writer, bootNow() - leader.leaseEndedBy });
         }
         text = encode(table);
     }
@@ -465,7 +467,7 @@
     if (*tableRecord->text == text)
         return adoptTable(std::move(*current), tableRecord->version);
     // A previous leader's write that this host had not seen: start over from that table.
-    m_context.directory.recordTable(m_service, { std::move(*current), tableRecord->version });
+    m_context.directory.recordTable(m_service, { std::move(*current), tableRecord->version, {} });
     m_tableWritten = false;
     m_nextPlanAt = Millis(0);
 }
@@ -514,7 +516,7 @@
     m_tableRevision = revision;
     m_rangeStates = std::move(states);
     m_tableWritten = true;
-    m_context.directory.recordTable(m_service, { m_table, revision });
+    m_context.directory.recordTable(m_service, { m_table, revision, {} });
     logEvent(EventKind::state, "table",
         { { "service", m_service }, { "revision", revision.value }, { "ranges", m_table.ranges.size() },
             { "first_of_keeper", isFirstWrite } });
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -30,6 +30,8 @@
     // Deletes the leader record, so that another host is elected at once. Until then this host goes on renewing grants.
     void resign();
     bool isLeader() const { return m_isLeader; }
+    // Whether tick() must be called often: this host leads, stands for election, or nobody leads.
+    bool needsTicks() const { return m_isLeader || m_wantsLease || m_vacantSince >= Millis(0); }
     void publishMetrics();
 
 private:
@@ -84,7 +86,7 @@
     Millis earlierGrantsEnd() const;
     bool hasWriterEnded(const std::string& writer) const;
     std::string writerName() const;
-    void loadPreviousLeaders(const RangeTable&);
+    void loadPreviousLeaders(const StoredTable&);
     void checkPreviousLeaders();
 
     void plan();
@@ -102,6 +104,7 @@
     bool isBelowGrantLimits(const InstanceId&, bool isRetry) const;
     bool clearPreviousOwners(const Range&, RangeState&);
     bool clearPreviousOwner(const Range&, const InstanceId&, PreviousOwner&, bool hasEarlierGrants);
+    std::string orderText(OrderId) const;
     void sendRelease(const Range&, PreviousOwner&, const UpstreamInstance&);
     void onRelease(const RangeKey&, const InstanceId&, const ReleaseResult&);
     void sendGrant(const Range&, RangeState&, const UpstreamInstance&);
@@ -136,10 +139,11 @@
     std::map<InstanceId, unsigned> m_grantsInFlightByOwner;
     Millis m_leaderSince {}; // boot clock
     struct PreviousLeader {
-        Millis leaseEndedBy {}; // wall clock; its lease had ended by then
+        Millis leaseEndedBy {}; // boot clock; its lease had ended by then
         std::optional<Millis> stoppedAt; // boot clock; it sends no orders after this time
     };
     std::map<std::string, PreviousLeader> m_previousLeaders; // by writer name
+    StoreRevision m_loadedRevision; // of the table that named them
     Millis m_earlierGrantTtl {}; // TTL of the previous leaders' grants
     Millis m_nextQueryAt {}; // next announcement to previous leaders that have not confirmed that they stopped
     bool m_writing = false;
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -127,12 +127,20 @@
     return false;
 }
 
+// The order's id as the upstream sees it: no other process uses the same.
+std::string RangeLeader::orderText(OrderId order) const
+{
+    return std::to_string(m_context.incarnation.value) + "-" + std::to_string(order);
+}
+
 void RangeLeader::sendRelease(const Range& range, PreviousOwner& previousOwner, const UpstreamInstance& upstream)
 {
     previousOwner.releasing = true;
-    m_context.http.start(m_context.adapter.releaseCall(upstream, range.first, range.last, range.fence),
-        [this, key = keyOf(range), instance = upstream.id](
-            const HttpOutcome& outcome) { onRelease(key, instance, m_context.adapter.interpretRelease(outcome)); });
+    const ReleaseOrder order { range.first, range.last, range.fence, orderText(m_nextOrder++) };
+    m_context.http.start(m_context.adapter.releaseCall(upstream, order),
+        [this, key = keyOf(range), instance = upstream.id, id = order.id](const HttpOutcome& outcome) {
+            onRelease(key, instance, m_context.adapter.interpretRelease(outcome, id));
+        });
 }
 
 void RangeLeader::onRelease(const RangeKey& key, const InstanceId& instance, const ReleaseResult& result)
@@ -164,13 +172,13 @@
     ++m_grantsInFlightByOwner[range.owner];
     recordSent(m_ledger, order, range.owner, range.first, range.last);
     HttpCall call = m_context.adapter.grantCall(
-        upstream, { range.first, range.last, range.fence, ttl, state.confirmed ? "" : state.handover });
+        upstream, { range.first, range.last, range.fence, ttl, state.confirmed ? "" : state.handover, orderText(order) });
     call.timeout = Millis(m_context.settings.limits.orderTimeoutMs);
     // A reused connection may be dead after a failure. With a new one, a failure to connect proves that the grant did
     // not arrive.
     call.freshConnection = state.lastGrantFailed;
     m_context.http.start(std::move(call), [this, range, sent](const HttpOutcome& outcome) {
-        onGrant(range, sent, m_context.adapter.interpretGrant(outcome));
+        onGrant(range, sent, m_context.adapter.interpretGrant(outcome, orderText(sent.order)));
     });
 }
 
@@ -261,12 +269,12 @@
         if (owns || now < upstream.nextProbeAt)
             continue;
         upstream.nextProbeAt = now + kProbeInterval;
-        HttpCall call = m_context.adapter.releaseCall(
-            entry->instance, upstream.probeRange.first, upstream.probeRange.first, upstream.probeRange.fence);
+        const ReleaseOrder order { upstream.probeRange.first, upstream.probeRange.first, upstream.probeRange.fence,
+            orderText(m_nextOrder++) };
+        HttpCall call = m_context.adapter.releaseCall(entry->instance, order);
         call.timeout = Millis(m_context.settings.limits.orderTimeoutMs);
-        call.freshConnection = true;
-        m_context.http.start(std::move(call), [this, instance = instance](const HttpOutcome& outcome) {
-            if (m_context.adapter.interpretRelease(outcome).verdict == OrderVerdict::done)
+        m_context.http.start(std::move(call), [this, instance = instance, id = order.id](const HttpOutcome& outcome) {
+            if (m_context.adapter.interpretRelease(outcome, id).verdict == OrderVerdict::done)
                 m_unreachable.erase(instance);
         });
     }
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -32,16 +32,20 @@
             "a store call without an answer for this time has failed" },
         { "drain_ms", &GatewayLimits::drainMs, 2000, 100, 60000, "ms",
             "a leaving upstream gets no new work after this time, as set by the platform" },
+        { "change_ms", &GatewayLimits::changeMs, 2000, 100, 60000, "ms",
+            "a configuration is in force on every host after this time, as set by the platform" },
         { "grace_ms", &GatewayLimits::graceMs, 6000, 1000, 600000, "ms",
             "time from a termination signal until the platform kills the process" },
         { "queue_per_rank", &GatewayLimits::queuePerRank, 64, 1, 100000, "requests",
             "max requests of one rank that wait for one upstream or pool" },
-        { "retry_ratio_percent", &GatewayLimits::retryRatioPercent, 20, 0, 1000, "percent",
-            "retries allowed for a service, as a percentage of its requests, as set by the platform" },
         { "retry_slack", &GatewayLimits::retrySlack, 50, 0, 100000, "sends",
-            "retries per window allowed for a service beyond that percentage, over all hosts, as set by the platform" },
+            "retries per window allowed for a service beyond retry_ratio, over all hosts, as set by the platform" },
         { "retry_window_ms", &GatewayLimits::retryWindowMs, 10000, 100, 600000, "ms",
             "window over which requests and retries are counted, as set by the platform" },
+        { "memory_mb", &GatewayLimits::memoryMb, 512, 16, 1 << 20, "MB",
+            "memory that the process may use; bodies of requests and answers in transit get a part of it" },
+        { "descriptors", &GatewayLimits::descriptors, 4096, 64, 1 << 20, "descriptors",
+            "file descriptors that the process may open; callers' connections get half of them" },
     };
     return options;
 }
@@ -54,13 +58,29 @@
 
 namespace {
 
+constexpr double kMaxRetryRatio = 10;
+
+// A value of an option, in its unit. Times may be given in seconds.
+std::int64_t readOption(FieldReader& reader, const GatewayOption& option)
+{
+    const std::string name = option.name, suffix = "_ms";
+    const auto min = static_cast<double>(option.min), max = static_cast<double>(option.max);
+    if (name.size() > suffix.size() && name.compare(name.size() - suffix.size(), suffix.size(), suffix) == 0) {
+        const std::string inSeconds = name.substr(0, name.size() - suffix.size()) + "_s";
+        if (reader.has(inSeconds.c_str()))
+            return static_cast<std::int64_t>(1000 * reader.numberOr(inSeconds.c_str(), min / 1000, max / 1000, 0));
+    }
+    return static_cast<std::int64_t>(reader.numberOr(option.name, min, max, static_cast<double>(option.defaultValue)));
+}
+
 GatewayLimits readLimits(const Json& document, std::vector<FieldError>& errors)
 {
     GatewayLimits limits;
-    const Json object = document.value("limits", Json::object());
+    const Json object = document.is_object() ? document.value("limits", Json::object()) : Json::object();
     FieldReader reader(object, "settings.limits", errors);
     for (const auto& option : gatewayOptions())
-        limits.*option.field = reader.integerOr(option.name, { option.min, option.max }, option.defaultValue);
+        limits.*option.field = readOption(reader, option);
+    limits.retryRatio = reader.numberOr("retry_ratio", 0, kMaxRetryRatio, limits.retryRatio);
     reader.refuseUnknownFields();
     if (limits.renewalIntervalMs * 2 + limits.orderTimeoutMs > limits.grantTtlMs)
         reader.addFault(FieldFault::conflict, "renewal_interval_ms", std::to_string(limits.renewalIntervalMs),
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -10,7 +10,7 @@
 // Settings of a daemon on a platform whose store holds the operator's configuration and the upstreams' entries.
 namespace pistachiospur {
 
-// Integer settings with bounds, described by gatewayOptions(). See there for each setting's meaning.
+// Settings with bounds, described by gatewayOptions(). See there for each setting's meaning.
 struct GatewayLimits {
     std::int64_t grantTtlMs = 0;
     std::int64_t maxGrantTtlMs = 0;
@@ -22,14 +22,18 @@
     std::int64_t leaderLeaseMs = 0;
     std::int64_t storeTimeoutMs = 0;
     std::int64_t drainMs = 0;
+    std::int64_t changeMs = 0;
     std::int64_t graceMs = 0;
     std::int64_t queuePerRank = 0;
-    std::int64_t retryRatioPercent = 0;
     std::int64_t retrySlack = 0;
     std::int64_t retryWindowMs = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t descriptors = 0;
+    double retryRatio = 0.2; // retries allowed for a service as a part of its requests; "retry_ratio" under "limits"
 };
 
-// One integer setting under "limits" in the settings document.
+// One whole-number setting under "limits" in the settings document. A value with a fraction is rounded down, because
+// the platform's bounds may have fractions. A time may be given in seconds instead, under the name that ends in "_s".
 struct GatewayOption {
     const char* name;
     std::int64_t GatewayLimits::*field;
@@ -40,7 +44,7 @@
     const char* purpose;
 };
 
-// All integer settings. The parser and the operators' page both use this table.
+// All whole-number settings. The parser and the operators' page both use this table.
 const std::vector<GatewayOption>& gatewayOptions();
 
 struct GatewaySettings {
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -2,23 +2,32 @@
 
 #include "observe/events.h"
 
+#include <algorithm>
+
 namespace pistachiospur {
 
 namespace {
 
 // The watching host sends heartbeats only while the age of the store's last answer is below kMaxAnswerAge. If it is cut
-// off from the store, these times let the next host read the store within 1.4 s of that last answer, and the host after
-// it within 1.7 s. The platform allows 2 s.
-constexpr Millis kHeartbeatInterval { 300 };
-constexpr Millis kMaxAnswerAge { 700 };
-constexpr Millis kHeartbeatTimeout { 650 };
-constexpr Millis kHeartbeatTimeoutAfterFailure { 300 }; // applies once a host is marked as failed
+// off from the store, these times, in percent of the time within which a change must be in force, let the next host read
+// the store within 70 % of that time after that last answer, and the host after it within 85 %.
+constexpr int kHeartbeatIntervalPercent = 15;
+constexpr int kMaxAnswerAgePercent = 35;
+constexpr int kHeartbeatTimeoutPercent = 32;
+constexpr int kHeartbeatTimeoutAfterFailurePercent = 15; // applies once a host is marked as failed
 // A host whose watch failed is not chosen again for this time.
 constexpr Millis kFailedWatchPause { 3000 };
 // A leader sends table updates to the hosts directly. If a host still lacks a table after this delay, it reads the
 // table from the store.
 constexpr Millis kTableReadDelay { 500 };
 
+// A part of the time within which every host must have a change.
+Millis partOfChangeTime(const GatewayContext& context, int percent)
+{
+    const auto& limits = context.settings.limits;
+    return Millis(std::min(limits.changeMs, limits.drainMs) * percent / 100);
+}
+
 } // namespace
 
 StoreWatcher::StoreWatcher(GatewayContext& context)
@@ -32,7 +41,8 @@
 
 bool StoreWatcher::isStoreAnswering() const
 {
-    return monotonicNow() - m_context.directory.watchAnsweredAt() < kMaxAnswerAge;
+    return monotonicNow() - m_context.directory.watchAnsweredAt()
+        < partOfChangeTime(m_context, kMaxAnswerAgePercent);
 }
 
 HostName chooseWatchHost(const std::vector<HostName>& order, const std::map<HostName, Millis>& failedUntil, Millis now)
@@ -62,7 +72,8 @@
     m_context.directory.setWatching(watchesHere);
     if (watchesHere)
         watch(now, order.size());
-    else if (now - m_lastHeardAt >= (m_failedUntil.empty() ? kHeartbeatTimeout : kHeartbeatTimeoutAfterFailure))
+    else if (now - m_lastHeardAt >= partOfChangeTime(m_context,
+                 m_failedUntil.empty() ? kHeartbeatTimeoutPercent : kHeartbeatTimeoutAfterFailurePercent))
         markFailed(m_watchHost, "silent");
 }
 
@@ -99,7 +110,7 @@
 
 void StoreWatcher::send(const ChangeBatch& batch)
 {
-    m_nextHeartbeatAt = monotonicNow() + kHeartbeatInterval;
+    m_nextHeartbeatAt = monotonicNow() + partOfChangeTime(m_context, kHeartbeatIntervalPercent);
     WatchUpdate update { { batch.from, batch.to, {} }, {}, false };
     for (const auto& it : batch.changes) {
         if (!isTableKey(it.key))
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -8,6 +8,13 @@
 
 namespace pistachiospur {
 
+namespace {
+
+// A head that is larger than this, interim responses included, is no answer of an upstream.
+constexpr std::size_t kMaxAnswerHeadBytes = 128u << 10;
+
+} // namespace
+
 struct HttpClient::Transfer {
     HttpClient* client = nullptr;
     CallId id = 0;
@@ -16,10 +23,17 @@
     HttpCall call;
     Callback callback;
     HttpAnswer answer;
+    std::size_t headBytes = 0; // received
+    std::uint64_t bodyBytes = 0; // of the request's body; UINT64_MAX if it is not known
+    std::size_t bodySent = 0; // bytes of call.body that libcurl has taken
     bool tooLarge = false;
+    bool paused = false; // libcurl waits for more of the body
 
     ~Transfer()
     {
+        client->m_totalBytes -= answer.body.size();
+        if (call.rest)
+            call.rest->onData(nullptr);
         curl_easy_cleanup(easy);
         curl_slist_free_all(headers);
     }
@@ -34,18 +48,61 @@
             transfer.client->m_chunks.emplace_back(transfer.id, std::string(data, n));
             return n;
         }
-        if (transfer.answer.body.size() + n > transfer.client->m_maxBodyBytes) {
-            transfer.tooLarge = true;
+        transfer.tooLarge |= transfer.answer.body.size() + n > transfer.client->m_maxBodyBytes;
+        if (transfer.tooLarge)
             return 0;
-        }
         transfer.answer.body.append(data, n);
+        transfer.client->m_totalBytes += n;
+        transfer.client->limitTotal();
+        noteEarlyAnswer(transfer);
         return n;
     }
 
+    // An upstream may answer before it has read the whole body. Its answer counts at once; libcurl would go on sending.
+    static void noteEarlyAnswer(Transfer& transfer)
+    {
+        const auto length = transfer.answer.headers.find("content-length");
+        if (transfer.bodyBytes == 0 || !transfer.call.freshConnection || length == transfer.answer.headers.end()
+            || length->second != std::to_string(transfer.answer.body.size()))
+            return;
+        curl_off_t sent = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+        if (static_cast<std::uint64_t>(sent) < transfer.bodyBytes)
+            transfer.client->m_earlyAnswers.push_back(transfer.id);
+    }
+
+    // Gives libcurl the next part of a body that flows.
+    static std::size_t onSend(char* buf, std::size_t size, std::size_t count, void* userData)
+    {
+        auto& transfer = *static_cast<Transfer*>(userData);
+        const std::size_t n = size * count;
+        std::string_view first = transfer.call.body;
+        first.remove_prefix(transfer.bodySent);
+        if (!first.empty()) {
+            const std::size_t taken = first.copy(buf, n);
+            transfer.bodySent += taken;
+            return taken;
+        }
+        BodyPipe& rest = *transfer.call.rest;
+        if (rest.state() == BodyPipe::State::broken)
+            return CURL_READFUNC_ABORT;
+        const std::string data = rest.read(n);
+        if (data.empty() && !rest.isAtEnd()) {
+            transfer.paused = true;
+            return CURL_READFUNC_PAUSE;
+        }
+        return data.copy(buf, n);
+    }
+
     static std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* userData)
     {
         auto& transfer = *static_cast<Transfer*>(userData);
         const std::string line(data, size * count);
+        transfer.headBytes += line.size();
+        if (transfer.headBytes > kMaxAnswerHeadBytes) {
+            transfer.tooLarge = true;
+            return 0;
+        }
         const auto colon = line.find(':');
         if (colon == std::string::npos)
             return size * count;
@@ -90,9 +147,10 @@
     }
 };
 
-HttpClient::HttpClient(std::size_t maxBodyBytes)
+HttpClient::HttpClient(std::size_t maxBodyBytes, std::size_t maxTotalBytes)
     : m_multi((curl_global_init(CURL_GLOBAL_DEFAULT), curl_multi_init()))
     , m_maxBodyBytes(maxBodyBytes)
+    , m_maxTotalBytes(maxTotalBytes)
     , m_timer([this] { onSocketEvents(CURL_SOCKET_TIMEOUT, 0); })
 {
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, Internals::onSocket);
@@ -126,6 +184,8 @@
         lines = curl_slist_append(lines, "Accept:");
     if (!hasType)
         lines = curl_slist_append(lines, "Content-Type:");
+    if (call.rest && !call.bodyBytes)
+        lines = curl_slist_append(lines, "Transfer-Encoding: chunked");
     return curl_slist_append(lines, "Expect:");
 }
 
@@ -142,6 +202,7 @@
     CURL* easy = transfer->easy;
     const HttpCall& request = transfer->call;
     transfer->headers = headerLines(request);
+    transfer->bodyBytes = request.rest ? request.bodyBytes.value_or(UINT64_MAX) : request.body.size();
     const std::string url = request.url.empty() ? "http://" + request.endpoint.text() + "/" : request.url;
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     if (!request.target.empty())
@@ -152,7 +213,14 @@
     if (request.resetOnAbort)
         curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, Internals::resetOnClose);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+    if (request.rest) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, Internals::onSend);
+        curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+            request.bodyBytes ? static_cast<curl_off_t>(*request.bodyBytes) : curl_off_t(-1));
+        request.rest->onData([this, id = transfer->id] { continueBody(id); });
+    } else if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
     }
@@ -176,6 +244,28 @@
     return id;
 }
 
+// More of a body that flows has arrived, or it has ended.
+void HttpClient::continueBody(CallId id)
+{
+    const auto it = m_transfers.find(id);
+    if (it == m_transfers.end() || !std::exchange(it->second->paused, false))
+        return;
+    curl_easy_pause(it->second->easy, CURLPAUSE_CONT);
+    m_timer.once(Millis(0));
+}
+
+// Ends the call with the largest body when all together are too large: one upstream that sends without end must not
+// cost the answers of the others.
+void HttpClient::limitTotal()
+{
+    if (m_totalBytes <= m_maxTotalBytes)
+        return;
+    const auto largest = std::max_element(m_transfers.begin(), m_transfers.end(), [](const auto& a, const auto& b) {
+        return a.second->answer.body.size() < b.second->answer.body.size();
+    });
+    largest->second->tooLarge = true; // ends with its next bytes
+}
+
 void HttpClient::cancel(CallId id)
 {
     const auto it = m_transfers.find(id);
@@ -211,6 +301,11 @@
         if (message->msg == CURLMSG_DONE)
             finish(message->easy_handle, message->data.result);
     }
+    for (const CallId id : std::exchange(m_earlyAnswers, {})) {
+        const auto it = m_transfers.find(id);
+        if (it != m_transfers.end())
+            finish(it->second->easy, CURLE_OK);
+    }
 }
 
 namespace {
@@ -242,9 +337,14 @@
         transfer->callback(HttpFailure { classifyFailure(easy, code, transfer->tooLarge) });
         return;
     }
+    if (transfer->tooLarge) {
+        transfer->callback(HttpFailure { HttpFault::tooLarge });
+        return;
+    }
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     transfer->answer.status = static_cast<int>(status);
+    m_totalBytes -= transfer->answer.body.size();
     transfer->callback(std::move(transfer->answer));
 }
 
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "http_server.h"
+#include "body.h"
+#include "http_message.h"
 #include "loop.h"
 
 #include <curl/curl.h>
@@ -23,6 +24,9 @@
     std::string target; // if set, sent unchanged as the path and query in place of those of the URL
     HeaderList headers;
     std::string body;
+    // The part of a large body that follows `body`; null if `body` is complete. The call takes bytes as it sends them.
+    std::shared_ptr<BodyPipe> rest;
+    std::optional<std::uint64_t> bodyBytes; // size of the body with `rest`; without it the body is sent in chunks
     Millis timeout { 1000 }; // for the whole call
     Millis connectTimeout {}; // included in `timeout`; zero: no separate limit
     // Opens a new connection for this call. libcurl silently resends a request if a reused connection breaks before the
@@ -40,7 +44,7 @@
     notSent, // nothing of the request was sent, so the server cannot have seen it
     timeout,
     broken, // the connection closed early, or the answer was not complete, valid HTTP
-    tooLarge, // the answer's body exceeded the client's limit
+    tooLarge, // the answer's head or body exceeded the client's limit
 };
 
 struct HttpFailure {
@@ -60,7 +64,8 @@
     using Callback = std::function<void(HttpOutcome)>;
     using CallId = std::uint64_t;
 
-    explicit HttpClient(std::size_t maxBodyBytes);
+    // `maxBodyBytes` bounds the body of one answer, `maxTotalBytes` those of all calls together.
+    explicit HttpClient(std::size_t maxBodyBytes, std::size_t maxTotalBytes = SIZE_MAX);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
@@ -76,13 +81,18 @@
 private:
     void onSocketEvents(curl_socket_t, int events);
     void deliverChunks();
+    void continueBody(CallId);
+    void limitTotal();
     void finishCompleted();
     void finish(CURL*, CURLcode);
 
     CURLM* m_multi;
     std::size_t m_maxBodyBytes;
+    std::size_t m_maxTotalBytes;
+    std::size_t m_totalBytes = 0; // of the bodies of all answers that are arriving
     CallId m_nextId = 1;
     Timer m_timer;
+    std::vector<CallId> m_earlyAnswers; // complete, although the request's body is not sent completely
     std::vector<std::pair<CallId, std::string>> m_chunks; // of streamed bodies, not yet passed to onBodyChunk
     std::unordered_map<CallId, std::unique_ptr<Transfer>> m_transfers;
     std::unordered_map<curl_socket_t, std::unique_ptr<SocketWatcher>> m_sockets;
--- /dev/null
+++ b/src/io/http_message.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "pistachiospur/types.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+// HTTP/1.1 requests and responses, and their form on the wire. Boost.Beast parses requests.
+namespace pistachiospur {
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+// Header values by lower-case name.
+using HeaderMap = std::map<std::string, std::string>;
+
+class BodyPipe;
+
+struct HttpRequest {
+    std::string method;
+    std::string target; // path and query as sent, still escaped
+    std::string path; // the target's part before "?"
+    HeaderMap headers;
+    std::map<std::string, std::string> query; // unescaped
+    std::string body;
+    bool tooLarge = false; // the body exceeds the server's limit; it is not read
+    Millis receivedAt {}; // monotonic clock: when the head was complete
+    std::shared_ptr<BodyPipe> rest; // the part of a large body that follows `body`; null if `body` is complete
+    std::shared_ptr<void> bodyCharge; // returns the body's bytes to the host's memory budget when destroyed
+};
+
+struct HttpResponse {
+    int status = 200;
+    HeaderList headers; // "Connection: close" closes the connection after the response
+    std::string body;
+};
+
+// Parses one request from bytes that arrive in pieces.
+class RequestParser {
+public:
+    // Receives the body's bytes in order.
+    using OnBody = std::function<void(std::string_view)>;
+
+    RequestParser(std::size_t maxHeaderBytes, HttpRequest&, OnBody);
+    ~RequestParser();
+
+    // Parses up to the next stop: the end of the head, or of the request, or of the bytes. Returns how many bytes it
+    // consumed; the caller presents the others again, followed by those that have arrived since.
+    std::size_t consume(std::string_view);
+    bool isHeadDone() const;
+    bool isDone() const;
+    // The status of the response to a malformed request or one with too large a head; nothing if there is no error.
+    std::optional<int> errorStatus() const;
+    // Whether the caller may send another request on the connection.
+    bool keepsAlive() const;
+    bool expectsContinue() const;
+    // The declared size of the body; nothing if it is sent in chunks.
+    std::optional<std::uint64_t> contentLength() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+// Whether requests with this method may be handled side by side, because none has an effect.
+bool isSafeMethod(const std::string& method);
+// The head of a response, up to and including the empty line. Without a body length the body follows in chunks.
+std::string encodeHead(const HttpResponse&, std::optional<std::size_t> bodyBytes, bool closes);
+std::string encodeChunk(std::string_view data);
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+// Whether the headers ask for the connection to be closed after the message.
+bool asksToClose(const HeaderList&);
+
+} // namespace pistachiospur
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -2,12 +2,13 @@
 
 #include "socket.h"
 
-#include <microhttpd.h>
-
 #include <algorithm>
 #include <cerrno>
+#include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
-#include <system_error>
 #include <unistd.h>
 #include <utility>
 
@@ -15,207 +16,310 @@
 
 namespace {
 
-// One second is the shortest time-out of libmicrohttpd.
+constexpr std::size_t kReadChunkBytes = 64u << 10;
 constexpr Millis kIdleTimeoutWhileStopping { 1000 };
-// Status of requests that are still open when the server is destroyed.
-constexpr int kServerDestroyedStatus = 502;
+// After its last response, a connection is read for this long, and up to this many bytes, before it is closed. Closing
+// it with unread bytes would reset it, and the caller could lose the response.
+constexpr Millis kLingerTime { 1000 };
+constexpr std::size_t kMaxLingerBytes = 4u << 20;
+// A connection whose input is held back is checked for the caller's close at this interval.
+constexpr Millis kHeldBackCheckInterval { 200 };
+// A caller that takes nothing of a response for this long has gone.
+constexpr Millis kWriteStallLimit { 15000 };
 
 } // namespace
 
 struct HttpExchange {
-    HttpServer* server = nullptr; // null until the request's headers have arrived
-    MHD_Connection* connection = nullptr; // null before the headers have arrived and once the exchange is over
-    HttpRequest request;
-    HttpResponse response;
-    std::string unsentBody; // streamed bytes that libmicrohttpd has not read yet
-    bool handled = false; // the handler has been called
+    HttpConnection* connection = nullptr; // null once the exchange is over
+    HttpPipeline::Sequence sequence = 0;
     bool answered = false;
-    bool streaming = false;
-    bool streamFinished = false;
-    bool suspended = false;
-    int fd = -1;
     std::function<void()> onDisconnect;
-    // libmicrohttpd does not poll the socket of a suspended connection, so this watcher detects the caller's close.
-    SocketWatcher closeWatcher { [this](int) { checkForClose(); } };
+};
 
-    void suspend()
-    {
-        suspended = true;
-        server->m_suspended.insert(this);
-        MHD_suspend_connection(connection);
-        if (onDisconnect)
-            closeWatcher.watch(fd, EV_READ);
-    }
+using ExchangePtr = std::shared_ptr<HttpExchange>;
 
-    // Calls onDisconnect if the caller has closed its connection. If the next request's bytes have arrived instead, the
-    // watcher stops, since the socket stays readable and the watcher would fire without end.
-    void checkForClose()
-    {
-        char byte = 0;
-        const auto n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (n < 0 && (errno == EAGAIN || errno == EINTR))
-            return;
-        closeWatcher.stop();
-        if (n > 0 || !onDisconnect)
-            return;
-        std::exchange(onDisconnect, nullptr)();
-    }
+// One connection of a caller.
+class HttpConnection {
+public:
+    HttpConnection(HttpServer&, int fd);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
+
+    void respond(HttpExchange&, HttpResponse);
+    void beginStream(HttpExchange&, HttpResponse head);
+    void writeStream(HttpExchange&, const std::string& data);
+    void finishStream(HttpExchange&);
+    // Ends the connection: open exchanges learn that the caller has gone.
+    void close();
+    void updateTimer();
+
+private:
+    HttpPipeline::Handlers pipelineHandlers();
+    void onEvents(int events);
+    void receive();
+    void discardInput();
+    void flush();
+    void updateWatcher();
+    void onTimer();
+    std::optional<Millis> expiry() const;
+    void onExpiry();
+    void checkHeldBack();
+    void endExchange(HttpExchange&);
+
+    HttpServer& m_server;
+    int m_fd;
+    HttpPipeline m_pipeline;
+    std::map<HttpPipeline::Sequence, ExchangePtr> m_exchanges; // not answered yet
+    SocketWatcher m_watcher;
+    Timer m_timer;
+    int m_events = 0; // that m_watcher waits for
+    Millis m_timerAt {}; // when m_timer fires; zero: not running
+    Millis m_activeAt; // last byte received or sent
+    std::size_t m_sent = 0; // bytes of the pipeline's output that are sent
+    std::size_t m_lingerBytes = 0;
+    bool m_handlingInput = false;
+    bool m_lingering = false;
+};
 
-    void resume()
-    {
-        if (!connection || !server || !suspended)
-            return;
-        suspended = false;
-        server->m_suspended.erase(this);
-        closeWatcher.stop();
-        MHD_resume_connection(connection);
-        server->scheduleRun();
+HttpConnection::HttpConnection(HttpServer& server, int fd)
+    : m_server(server)
+    , m_fd(fd)
+    , m_pipeline(server.m_limits, pipelineHandlers(), server.m_bodyBudget)
+    , m_watcher([this](int events) { onEvents(events); })
+    , m_timer([this] { onTimer(); })
+    , m_activeAt(monotonicNow())
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    updateWatcher();
+    updateTimer();
+}
+
+HttpConnection::~HttpConnection()
+{
+    m_pipeline.end();
+    for (auto& [sequence, exchange] : m_exchanges)
+        exchange->connection = nullptr;
+    m_watcher.stop();
+    if (m_fd >= 0)
+        ::close(m_fd);
+}
+
+HttpPipeline::Handlers HttpConnection::pipelineHandlers()
+{
+    return { [this](const HttpRequest& request, std::optional<std::uint64_t> bodyBytes) {
+                return m_server.m_headCheck ? m_server.m_headCheck(request, bodyBytes) : std::nullopt;
+            },
+        [this](HttpPipeline::Sequence sequence, HttpRequest request) {
+            auto exchange = std::make_shared<HttpExchange>();
+            exchange->connection = this;
+            exchange->sequence = sequence;
+            m_exchanges[sequence] = exchange;
+            if (request.rest)
+                request.rest->onRead([this](std::size_t) {
+                    m_pipeline.resume();
+                    flush();
+                });
+            m_server.m_handler(std::move(request), Responder(std::move(exchange)));
+        },
+        [this] {
+            return m_server.m_overloadResponse ? m_server.m_overloadResponse() : HttpResponse { 503, {}, "" };
+        } };
+}
+
+void HttpConnection::close()
+{
+    if (m_fd < 0)
+        return;
+    m_watcher.stop();
+    m_timer.stop();
+    ::close(std::exchange(m_fd, -1));
+    m_pipeline.end();
+    for (auto& [sequence, exchange] : std::exchange(m_exchanges, {})) {
+        exchange->connection = nullptr;
+        if (auto callback = std::exchange(exchange->onDisconnect, nullptr))
+            callback();
     }
-};
+    m_server.remove(*this);
+}
 
-namespace {
+void HttpConnection::endExchange(HttpExchange& exchange)
+{
+    exchange.connection = nullptr;
+    exchange.onDisconnect = nullptr;
+    m_exchanges.erase(exchange.sequence);
+}
 
-using ExchangePtr = std::shared_ptr<HttpExchange>;
+void HttpConnection::respond(HttpExchange& exchange, HttpResponse response)
+{
+    const auto sequence = exchange.sequence;
+    endExchange(exchange);
+    m_pipeline.respond(sequence, std::move(response));
+    flush();
+}
 
-std::string lowerCase(std::string text)
+void HttpConnection::beginStream(HttpExchange& exchange, HttpResponse head)
 {
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-    return text;
+    m_pipeline.beginStream(exchange.sequence, std::move(head));
+    flush();
 }
 
-MHD_Result collectHeader(void* headers, MHD_ValueKind, const char* name, const char* value)
+void HttpConnection::writeStream(HttpExchange& exchange, const std::string& data)
 {
-    (*static_cast<HeaderMap*>(headers))[lowerCase(name)] = value ? value : "";
-    return MHD_YES;
+    m_pipeline.writeStream(exchange.sequence, data);
+    flush();
 }
 
-MHD_Result collectQuery(void* query, MHD_ValueKind, const char* name, const char* value)
+void HttpConnection::finishStream(HttpExchange& exchange)
 {
-    (*static_cast<std::map<std::string, std::string>*>(query))[name] = value ? value : "";
-    return MHD_YES;
+    const auto sequence = exchange.sequence;
+    endExchange(exchange);
+    m_pipeline.finishStream(sequence);
+    flush();
 }
 
-ssize_t readStream(void* cls, std::uint64_t, char* buf, std::size_t n)
+void HttpConnection::onEvents(int events)
 {
-    auto& exchange = **static_cast<ExchangePtr*>(cls);
-    if (exchange.unsentBody.empty()) {
-        if (exchange.streamFinished)
-            return MHD_CONTENT_READER_END_OF_STREAM;
-        exchange.suspend();
-        return 0;
+    if (events & EV_READ) {
+        if (m_lingering)
+            discardInput();
+        else
+            receive();
     }
-    const std::size_t taken = std::min(n, exchange.unsentBody.size());
-    std::copy_n(exchange.unsentBody.data(), taken, buf);
-    exchange.unsentBody.erase(0, taken);
-    return static_cast<ssize_t>(taken);
+    flush();
 }
 
-MHD_Result queueResponse(MHD_Connection* connection, const ExchangePtr& exchange)
+void HttpConnection::receive()
 {
-    MHD_Response* response;
-    if (exchange->streaming) {
-        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096, readStream, new ExchangePtr(exchange),
-            [](void* cls) { delete static_cast<ExchangePtr*>(cls); });
-    } else {
-        auto& body = exchange->response.body;
-        response = MHD_create_response_from_buffer(body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
-    }
-    for (const auto& [name, value] : exchange->response.headers)
-        MHD_add_response_header(response, name.c_str(), value.c_str());
-    const auto result = MHD_queue_response(connection, static_cast<unsigned>(exchange->response.status), response);
-    MHD_destroy_response(response);
-    return result;
+    static thread_local std::string buf(kReadChunkBytes, '\0');
+    const ssize_t n = recv(m_fd, buf.data(), buf.size(), 0);
+    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+        return close();
+    if (n < 0)
+        return;
+    m_activeAt = monotonicNow();
+    m_handlingInput = true;
+    m_pipeline.receive({ buf.data(), static_cast<std::size_t>(n) }, m_activeAt);
+    m_handlingInput = false;
 }
 
-} // namespace
+void HttpConnection::discardInput()
+{
+    static thread_local std::string buf(kReadChunkBytes, '\0');
+    const ssize_t n = recv(m_fd, buf.data(), buf.size(), 0);
+    if (n > 0)
+        m_lingerBytes += static_cast<std::size_t>(n);
+    const bool ended = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    if (ended || m_lingerBytes >= kMaxLingerBytes)
+        close();
+}
 
-struct HttpServer::Internals {
-    static MHD_Result onAccess(void* cls, MHD_Connection* connection, const char*, const char* method, const char*,
-        const char* data, std::size_t* n, void** state)
-    {
-        auto& server = *static_cast<HttpServer*>(cls);
-        const ExchangePtr& exchange = *static_cast<ExchangePtr*>(*state);
-        if (!exchange->connection) {
-            begin(server, connection, method, *exchange);
-            return MHD_YES;
-        }
-        if (*n) {
-            collectBody(server, *exchange, data, *n);
-            *n = 0;
-            return MHD_YES;
-        }
-        if (!exchange->handled) {
-            exchange->handled = true;
-            server.m_handler(std::move(exchange->request), Responder(exchange));
-        }
-        if (exchange->answered)
-            return queueResponse(connection, exchange);
-        exchange->suspend();
-        return MHD_YES;
+// Sends what is ready. Within receive() it waits until all input is handled, so that responses share a call.
+void HttpConnection::flush()
+{
+    if (m_fd < 0 || m_handlingInput)
+        return;
+    std::string& output = m_pipeline.output();
+    while (m_sent < output.size()) {
+        const ssize_t n = ::send(m_fd, output.data() + m_sent, output.size() - m_sent, MSG_NOSIGNAL);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0 && errno != EAGAIN)
+            return close();
+        if (n < 0)
+            break;
+        m_sent += static_cast<std::size_t>(n);
+        m_activeAt = monotonicNow();
     }
-
-    // Called at the start of each request; only this callback of libmicrohttpd provides the target before
-    // unescaping.
-    static void* onTarget(void*, const char* target, MHD_Connection*)
-    {
-        auto exchange = std::make_shared<HttpExchange>();
-        exchange->request.target = target;
-        exchange->request.path = exchange->request.target.substr(0, exchange->request.target.find('?'));
-        return new ExchangePtr(std::move(exchange));
+    if (m_sent == output.size()) {
+        output = {};
+        m_sent = 0;
+        if (m_pipeline.isClosing() && !std::exchange(m_lingering, true))
+            shutdown(m_fd, SHUT_WR);
     }
+    updateWatcher();
+    updateTimer();
+}
 
-    static void begin(HttpServer& server, MHD_Connection* connection, const char* method, HttpExchange& exchange)
-    {
-        exchange.server = &server;
-        exchange.connection = connection;
-        exchange.fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-        exchange.request.method = method;
-        MHD_get_connection_values(connection, MHD_HEADER_KIND, collectHeader, &exchange.request.headers);
-        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, collectQuery, &exchange.request.query);
-    }
+void HttpConnection::updateWatcher()
+{
+    const bool reads = m_lingering || m_pipeline.wantsInput();
+    const int events = (reads ? EV_READ : 0) | (m_pipeline.output().empty() ? 0 : EV_WRITE);
+    if (events == m_events)
+        return;
+    m_events = events;
+    if (events)
+        m_watcher.watch(m_fd, events);
+    else
+        m_watcher.stop();
+}
 
-    static void collectBody(const HttpServer& server, HttpExchange& exchange, const char* data, std::size_t n)
-    {
-        auto& request = exchange.request;
-        if (request.body.size() + n > server.m_maxBodyBytes)
-            request.tooLarge = true;
-        if (request.tooLarge)
-            request.body.clear();
-        else
-            request.body.append(data, n);
-    }
+// --- Time limits ---
 
-    static void onConnection(void* cls, MHD_Connection* connection, void**, MHD_ConnectionNotificationCode code)
-    {
-        auto& server = *static_cast<HttpServer*>(cls);
-        if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-            server.m_connections.erase(connection);
-            return;
-        }
-        server.m_connections.insert(connection);
-        if (server.m_idleTimeout.count() > 0)
-            setConnectionTimeout(connection, server.m_idleTimeout);
-    }
+std::optional<Millis> HttpConnection::expiry() const
+{
+    const HttpLimits& limits = m_server.m_limits;
+    const auto after = [](Millis since, Millis limit) {
+        return limit.count() > 0 ? std::optional(since + limit) : std::nullopt;
+    };
+    if (m_lingering)
+        return m_activeAt + kLingerTime;
+    if (m_events & EV_WRITE)
+        return m_activeAt + kWriteStallLimit;
+    if (!(m_events & EV_READ))
+        return monotonicNow() + kHeldBackCheckInterval;
+    if (m_pipeline.isHeadPending())
+        return after(m_pipeline.receivingSince(), limits.headerTimeout);
+    if (m_pipeline.isReceiving())
+        return after(m_activeAt, limits.headerTimeout);
+    if (m_pipeline.openRequests() > 0)
+        return std::nullopt;
+    return m_server.m_stopping ? std::optional(m_activeAt + kIdleTimeoutWhileStopping)
+                               : after(m_activeAt, limits.idleTimeout);
+}
 
-    // libmicrohttpd's time-outs are in whole seconds, so the time-out is rounded up.
-    static void setConnectionTimeout(MHD_Connection* connection, Millis timeout)
-    {
-        const auto seconds = static_cast<unsigned>((timeout.count() + 999) / 1000);
-        MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, seconds);
-    }
+// The timer is only set anew when it must fire earlier; one that fires too early is set again then.
+void HttpConnection::updateTimer()
+{
+    if (m_fd < 0)
+        return;
+    const auto at = expiry();
+    if (!at || (m_timerAt.count() > 0 && m_timerAt <= *at))
+        return;
+    m_timerAt = *at;
+    m_timer.once(std::max(Millis(1), *at - monotonicNow()));
+}
 
-    static void onCompleted(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode)
-    {
-        auto* exchange = static_cast<ExchangePtr*>(*state);
-        if (!exchange)
-            return;
-        (*exchange)->connection = nullptr;
-        (*exchange)->closeWatcher.stop();
-        (*exchange)->onDisconnect = nullptr;
-        delete exchange;
-        *state = nullptr;
-    }
-};
+void HttpConnection::onTimer()
+{
+    m_timerAt = Millis(0);
+    const bool heldBack = !m_lingering && m_events == 0;
+    if (heldBack)
+        checkHeldBack();
+    else if (const auto at = expiry(); at && monotonicNow() >= *at)
+        onExpiry();
+    updateTimer();
+}
+
+void HttpConnection::onExpiry()
+{
+    const bool receiving = m_pipeline.isReceiving() && !m_lingering && !(m_events & EV_WRITE);
+    if (!receiving)
+        return close();
+    m_pipeline.timeOut();
+    flush();
+}
+
+// While no input is read, the caller's close shows only in the socket's state.
+void HttpConnection::checkHeldBack()
+{
+    pollfd state { m_fd, POLLRDHUP, 0 };
+    if (poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)))
+        close();
+}
+
+// --- Responder ---
 
 namespace {
 
@@ -225,11 +329,10 @@
     ExchangePtr exchange;
     ~UnansweredGuard()
     {
-        if (exchange->answered)
-            return;
-        exchange->answered = true;
-        exchange->response = { 500, {}, "" };
-        exchange->resume();
+        if (exchange->connection && !exchange->answered) {
+            exchange->answered = true;
+            exchange->connection->respond(*exchange, { 500, {}, "" });
+        }
     }
 };
 
@@ -244,100 +347,95 @@
 
 void Responder::respond(HttpResponse response) const
 {
-    if (m_exchange->answered)
-        return;
-    m_exchange->answered = true;
-    m_exchange->response = std::move(response);
-    m_exchange->resume();
+    if (!std::exchange(m_exchange->answered, true) && m_exchange->connection)
+        m_exchange->connection->respond(*m_exchange, std::move(response));
 }
 
 void Responder::beginStream(int status, HeaderList headers) const
 {
-    m_exchange->streaming = true;
-    respond({ status, std::move(headers), "" });
+    if (!std::exchange(m_exchange->answered, true) && m_exchange->connection)
+        m_exchange->connection->beginStream(*m_exchange, { status, std::move(headers), "" });
 }
 
 void Responder::write(const std::string& chunk) const
 {
-    m_exchange->unsentBody += chunk;
-    m_exchange->resume();
+    if (m_exchange->connection)
+        m_exchange->connection->writeStream(*m_exchange, chunk);
 }
 
 void Responder::finish() const
 {
-    m_exchange->streamFinished = true;
-    m_exchange->resume();
+    if (m_exchange->connection)
+        m_exchange->connection->finishStream(*m_exchange);
 }
 
 void Responder::onDisconnect(std::function<void()> callback) const
 {
-    m_exchange->onDisconnect = std::move(callback);
-    if (m_exchange->suspended)
-        m_exchange->closeWatcher.watch(m_exchange->fd, EV_READ);
+    if (m_exchange->connection)
+        m_exchange->onDisconnect = std::move(callback);
 }
 
 bool Responder::isOpen() const { return m_exchange->connection != nullptr; }
 
+// --- Server ---
+
 HttpServer::HttpServer(const Endpoint& endpoint, std::size_t maxBodyBytes, Handler handler, unsigned maxConnections)
-    : m_maxBodyBytes(maxBodyBytes)
+    : m_listenFd(listenOn(endpoint))
+    , m_port(boundPort(m_listenFd))
     , m_handler(std::move(handler))
-    , m_watcher([this](int) { run(); })
-    , m_timer([this] { run(); })
+    , m_maxConnections(maxConnections)
+    , m_acceptWatcher([this](int) { acceptAll(); })
+    , m_deleteTimer([this] { m_closed.clear(); })
 {
-    const int fd = listenOn(endpoint);
-    m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, Internals::onAccess,
-        this, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_NOTIFY_COMPLETED, Internals::onCompleted, nullptr,
-        MHD_OPTION_URI_LOG_CALLBACK, Internals::onTarget, nullptr, MHD_OPTION_NOTIFY_CONNECTION,
-        Internals::onConnection, this, MHD_OPTION_CONNECTION_LIMIT, maxConnections, MHD_OPTION_END);
-    if (!m_daemon)
-        throw std::system_error(ENOMEM, std::generic_category(), endpoint.text());
-    m_port = boundPort(fd);
-    m_watcher.watch(MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd, EV_READ);
+    m_limits.bodyBytes = maxBodyBytes;
+    m_acceptWatcher.watch(m_listenFd, EV_READ);
 }
 
 HttpServer::~HttpServer()
 {
-    m_watcher.stop();
-    // libmicrohttpd requires that no connection is suspended when it stops.
-    for (auto* exchange : std::set<HttpExchange*>(m_suspended)) {
-        exchange->onDisconnect = nullptr;
-        exchange->streamFinished = exchange->answered = true;
-        exchange->response.status = kServerDestroyedStatus;
-        exchange->resume();
-    }
-    MHD_run(m_daemon);
-    MHD_stop_daemon(m_daemon);
+    if (m_listenFd >= 0)
+        ::close(m_listenFd);
 }
 
-void HttpServer::stopListening()
+void HttpServer::setBodyBudget(std::shared_ptr<MemoryBudget> budget, std::function<HttpResponse()> overload)
 {
-    const auto fd = MHD_quiesce_daemon(m_daemon);
-    if (fd != MHD_INVALID_SOCKET)
-        close(fd);
-    for (auto* connection : m_connections)
-        Internals::setConnectionTimeout(connection, kIdleTimeoutWhileStopping);
-    scheduleRun();
+    m_bodyBudget = std::move(budget);
+    m_overloadResponse = std::move(overload);
 }
 
-void HttpServer::run()
+void HttpServer::acceptAll()
 {
-    m_runAgain = false;
-    MHD_run(m_daemon);
-    MHD_UNSIGNED_LONG_LONG timeout = 0;
-    if (m_runAgain)
-        m_timer.once(Millis(0));
-    else if (MHD_get_timeout(m_daemon, &timeout) == MHD_YES)
-        m_timer.once(Millis(timeout));
-    else
-        m_timer.stop();
+    while (m_listenFd >= 0 && m_connections.size() < m_maxConnections) {
+        const int fd = accept4(m_listenFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0)
+            return;
+        m_connections.push_back(std::make_unique<HttpConnection>(*this, fd));
+    }
+    if (m_listenFd >= 0 && !std::exchange(m_acceptPaused, true))
+        m_acceptWatcher.stop(); // until a connection is closed
+}
+
+void HttpServer::remove(HttpConnection& connection)
+{
+    const auto it = std::find_if(
+        m_connections.begin(), m_connections.end(), [&](const auto& n) { return n.get() == &connection; });
+    if (it != m_connections.end())
+        m_closed.splice(m_closed.end(), m_connections, it);
+    m_deleteTimer.once(Millis(0));
+    if (m_listenFd >= 0 && std::exchange(m_acceptPaused, false))
+        m_acceptWatcher.watch(m_listenFd, EV_READ);
 }
 
-// Runs libmicrohttpd again at once. A resumed connection makes progress only in the next run, and MHD_get_timeout
-// does not always report it.
-void HttpServer::scheduleRun()
+void HttpServer::stopListening()
 {
-    m_runAgain = true;
-    m_timer.once(Millis(0));
+    if (m_listenFd < 0)
+        return;
+    acceptAll(); // connections that wait in the socket's queue would be reset
+    m_acceptWatcher.stop();
+    ::close(std::exchange(m_listenFd, -1));
+    m_stopping = true;
+    for (const auto& it : m_connections)
+        it->updateTimer();
 }
 
 } // namespace pistachiospur
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -1,43 +1,19 @@
 #pragma once
 
+#include "http_pipeline.h"
 #include "loop.h"
 
 #include <functional>
-#include <map>
+#include <list>
 #include <memory>
-#include <set>
 #include <string>
-#include <utility>
-#include <vector>
 
-struct MHD_Daemon;
-struct MHD_Connection;
-
-// An HTTP server on the event loop, built on libmicrohttpd with external polling.
+// An HTTP/1.1 server on the event loop. Each connection is an HttpPipeline over a non-blocking socket.
 namespace pistachiospur {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
-// Header values by lower-case name.
-using HeaderMap = std::map<std::string, std::string>;
-
-struct HttpRequest {
-    std::string method;
-    std::string target; // path and query as sent, still escaped
-    std::string path; // the target's part before "?"
-    HeaderMap headers;
-    std::map<std::string, std::string> query;
-    std::string body;
-    bool tooLarge = false; // the body exceeded the server's limit and was discarded
-};
-
-struct HttpResponse {
-    int status = 200;
-    HeaderList headers;
-    std::string body;
-};
-
 // State of one request and its response, defined in http_server.cpp.
 struct HttpExchange;
+class HttpConnection;
 
 // A handle to answer one request, at once or later. Only the first answer is sent. If the last copy is destroyed before
 // any answer, the caller gets status 500.
@@ -50,9 +26,9 @@
     void beginStream(int status, HeaderList) const;
     void write(const std::string& chunk) const;
     void finish() const;
-    // False once the exchange is over: the response was sent or the caller's connection was closed.
+    // False once the exchange is over: the response is complete or the caller's connection was closed.
     bool isOpen() const;
-    // Registers a callback for the case that the caller closes its connection before it has received the answer.
+    // Registers a callback for the case that the caller closes its connection before it is answered.
     void onDisconnect(std::function<void()>) const;
 
 private:
@@ -64,6 +40,7 @@
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, Responder)>;
+    using HeadCheck = std::function<std::optional<HttpResponse>(const HttpRequest&, std::optional<std::uint64_t>)>;
 
     // Starts to listen. Port 0 selects a free port. Throws std::system_error if the address cannot be bound.
     HttpServer(const Endpoint&, std::size_t maxBodyBytes, Handler, unsigned maxConnections = kDefaultMaxConnections);
@@ -74,28 +51,36 @@
     std::uint16_t port() const { return m_port; }
     // Closes the listening socket. Open exchanges continue; other connections are closed after a short idle time.
     void stopListening();
-    // Sets the time after which an idle connection is closed. Applies to new connections only.
-    void setIdleTimeout(Millis timeout) { m_idleTimeout = timeout; }
-
-    struct Internals;
+    // Changes the limits, also of open connections.
+    void setLimits(const HttpLimits& limits) { m_limits = limits; }
+    const HttpLimits& limits() const { return m_limits; }
+    // See HttpPipeline::Handlers.
+    void setHeadCheck(HeadCheck check) { m_headCheck = std::move(check); }
+    // Bounds the memory for bodies of new connections; `overload` answers the requests that do not fit.
+    void setBodyBudget(std::shared_ptr<MemoryBudget> budget, std::function<HttpResponse()> overload);
+    std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
-    void run();
-    void scheduleRun();
+    void acceptAll();
+    void remove(HttpConnection&);
 
-    MHD_Daemon* m_daemon = nullptr;
+    int m_listenFd;
     std::uint16_t m_port = 0;
-    std::set<MHD_Connection*> m_connections;
-    std::set<HttpExchange*> m_suspended;
-    Millis m_idleTimeout {}; // zero: none
-    bool m_runAgain = false; // a connection was resumed since the last run began, so run() repeats at once
-    std::size_t m_maxBodyBytes;
+    HttpLimits m_limits;
     Handler m_handler;
-    SocketWatcher m_watcher;
-    Timer m_timer;
-
-    friend struct Internals;
-    friend struct HttpExchange;
+    unsigned m_maxConnections;
+    HeadCheck m_headCheck;
+    std::shared_ptr<MemoryBudget> m_bodyBudget;
+    std::function<HttpResponse()> m_overloadResponse;
+    bool m_stopping = false;
+    bool m_acceptPaused = false; // there are too many connections
+    std::list<std::unique_ptr<HttpConnection>> m_connections;
+    // Closed connections; m_deleteTimer deletes them, because one must not be deleted within one of its own calls.
+    std::list<std::unique_ptr<HttpConnection>> m_closed;
+    SocketWatcher m_acceptWatcher;
+    Timer m_deleteTimer;
+
+    friend class HttpConnection;
 };
 
 } // namespace pistachiospur
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -30,8 +30,11 @@
         { "pistachiospur_store_calls_total", "counter", "calls to the platform's store; a watch counts as one call" },
         { "pistachiospur_store_failures_total", "counter", "store calls that failed" },
         { "pistachiospur_plan_writes_total", "counter", "conditional writes of the planner, by kind and result" },
-        { "pistachiospur_peer_messages_total", "counter", "messages sent to other hosts" },
-        { "pistachiospur_peer_bytes_total", "counter", "bytes of messages sent to other hosts" },
+        { "pistachiospur_peer_messages_total", "counter", "messages sent to other hosts, by kind" },
+        { "pistachiospur_peer_bytes_total", "counter", "bytes of messages sent to other hosts, by kind" },
+        { "pistachiospur_configuration_faults", "gauge",
+            "parts of the configuration in force that this version cannot read" },
+        { "pistachiospur_body_bytes", "gauge", "memory that bodies in transit use on this host" },
         { "pistachiospur_quarantined", "gauge", "requests that are quarantined" },
         { "pistachiospur_peer_links", "gauge", "open links to other hosts" },
         { "pistachiospur_hosts_alive", "gauge", "hosts that this host considers alive, including itself" },
@@ -65,6 +68,11 @@
     m_counters.at(name)->Add(labels).Increment(amount);
 }
 
+void Metrics::raise(const char* name, const Labels& labels, double total)
+{
+    count(name, labels, total - counterValue(name, labels));
+}
+
 void Metrics::set(const char* name, const Labels& labels, double value) { m_gauges.at(name)->Add(labels).Set(value); }
 
 void Metrics::observeLatency(const ServiceName& service, const RankName& rank, double seconds)
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -31,6 +31,8 @@
     Metrics();
     // Adds to a counter. `name` must be in metricTable().
     void count(const char* name, const Labels& labels = {}, double amount = 1);
+    // Raises a counter to a total that is kept elsewhere. `name` must be in metricTable().
+    void raise(const char* name, const Labels& labels, double total);
     // Sets a gauge. `name` must be in metricTable().
     void set(const char* name, const Labels& labels, double value);
     // Records a request's latency in the histogram of its service and rank.
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -10,14 +10,27 @@
 
 namespace {
 
-// Max frames that wait for one link to open. Further ones are dropped.
+// Max frames that wait for one link to open. Further ones are not sent.
 constexpr std::size_t kMaxQueuedFrames = 10000;
+// Ids that a link keeps: one for each proof, at most one a second. A request is over before its id is dropped.
+constexpr std::size_t kMaxLinkIds = 32;
 
 } // namespace
 
-PeerHub::PeerHub(const Endpoint& listen, Hello self, Handlers handlers)
+LinkLoss lossOf(const LostLink& lost, LinkId link)
+{
+    if (link == kNoLink)
+        return LinkLoss::unaffected;
+    if (link == lost.unsent)
+        return LinkLoss::notSent;
+    const bool sent = std::find(lost.links.begin(), lost.links.end(), link) != lost.links.end();
+    return sent ? LinkLoss::sent : LinkLoss::unaffected;
+}
+
+PeerHub::PeerHub(const Endpoint& listen, Hello self, Handlers handlers, std::size_t maxBacklogBytes)
     : m_self(std::move(self))
     , m_handlers(std::move(handlers))
+    , m_maxBacklogBytes(maxBacklogBytes)
     , m_listenFd(listenOn(listen))
     , m_port(boundPort(m_listenFd))
     , m_acceptWatcher([this](int) { acceptAll(); })
@@ -42,7 +55,7 @@
 
 Link* PeerHub::addLink(std::unique_ptr<Link> link)
 {
-    link->id = m_nextLink++;
+    link->ids = { m_nextLink++ };
     m_links.push_back(std::move(link));
     return m_links.back().get();
 }
@@ -53,7 +66,7 @@
         const int fd = accept4(m_listenFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
-        addLink(Link::accept(fd, linkHandlers()));
+        addLink(Link::accept(fd, linkHandlers(), m_maxBacklogBytes));
     }
 }
 
@@ -64,67 +77,119 @@
     for (const auto& link : m_links)
         links.push_back(link.get());
     for (Link* link : links)
-        link->check(now);
+        link->check(now, m_repliesDue.count(link->peer) > 0);
 }
 
 // If both an outgoing and an incoming link are open, returns the one that received data last: the other one may be
 // broken.
-Link* PeerHub::openLinkTo(const HostName& host)
+Link* PeerHub::openLinkTo(const LinkKey& key)
 {
     Link* best = nullptr;
-    const auto out = m_outgoing.find(host);
+    const auto out = m_outgoing.find(key);
     if (out != m_outgoing.end() && out->second.link && out->second.link->isOpen())
         best = out->second.link;
-    const auto in = m_incoming.find(host);
+    const auto in = m_incoming.find(key);
     if (in != m_incoming.end() && in->second->isOpen() && (!best || best->lastReceived() < in->second->lastReceived()))
         best = in->second;
     return best;
 }
 
-std::optional<LinkId> PeerHub::send(const HostName& to, const Message& message)
+void PeerHub::countSent(const Message& message, const std::string& frame)
+{
+    Traffic& traffic = m_sent[message.index()];
+    ++traffic.messages;
+    traffic.bytes += frame.size();
+}
+
+// A relayed request must not be sent into a connection that has gone silent, since it could then not be sent again.
+std::optional<LinkId> PeerHub::send(const HostName& to, const Message& message, Lane lane)
 {
-    return sendFrame(to, encode(message));
+    const std::string frame = encode(message);
+    countSent(message, frame);
+    const bool isRequest = std::holds_alternative<Relay>(message);
+    const auto link = sendFrame({ to, lane }, frame, isRequest);
+    if (isRequest && link)
+        ++m_repliesDue[to];
+    return link;
+}
+
+bool PeerHub::sendVia(LinkId id, const Message& message)
+{
+    const auto found = std::find_if(m_links.begin(), m_links.end(),
+        [id](const auto& link) { return std::find(link->ids.begin(), link->ids.end(), id) != link->ids.end(); });
+    if (found == m_links.end())
+        return false;
+    Link& link = **found;
+    const std::string frame = encode(message);
+    countSent(message, frame);
+    if (link.isOpen()) {
+        sendOn(link, frame, false);
+        return true;
+    }
+    const auto out = m_outgoing.find({ link.peer, link.isBulk ? Lane::bulk : Lane::control });
+    if (out == m_outgoing.end() || out->second.link != &link)
+        return false;
+    out->second.queued.push_back(frame);
+    out->second.queuedBytes += frame.size();
+    return true;
 }
 
 void PeerHub::send(const std::vector<HostName>& to, const Message& message)
 {
     const std::string frame = encode(message);
-    for (const auto& host : to)
-        sendFrame(host, frame);
+    for (const auto& host : to) {
+        countSent(message, frame);
+        sendFrame({ host, Lane::control }, frame, false);
+    }
 }
 
-std::optional<LinkId> PeerHub::sendFrame(const HostName& to, const std::string& frame)
+// Sends a message on an open link. The first message that has to wait for a proof gets a new id.
+LinkId PeerHub::sendOn(Link& link, const std::string& frame, bool proven)
 {
-    ++m_sentMessages;
-    m_sentBytes += frame.size();
-    if (Link* link = openLinkTo(to)) {
-        link->send(frame);
-        return link->id;
+    const bool wasHolding = link.isHolding();
+    link.send(frame, proven);
+    if (link.isHolding() && !wasHolding) {
+        link.ids.push_back(m_nextLink++);
+        if (link.ids.size() > kMaxLinkIds)
+            link.ids.erase(link.ids.begin() + 1); // the first names the link to what arrived on it
     }
-    Outgoing& out = m_outgoing[to];
+    return link.ids.back();
+}
+
+std::optional<LinkId> PeerHub::sendFrame(const LinkKey& key, const std::string& frame, bool proven)
+{
+    if (Link* link = openLinkTo(key))
+        return sendOn(*link, frame, proven);
+    Outgoing& out = m_outgoing[key];
     if (!out.link) {
-        const auto endpoint = m_handlers.findEndpoint(to);
+        const auto endpoint = m_handlers.findEndpoint(key.first);
         if (!endpoint) {
-            m_outgoing.erase(to);
+            m_outgoing.erase(key);
             return std::nullopt;
         }
-        out.link = addLink(Link::connect(*endpoint, linkHandlers()));
-        out.link->peer = to;
+        out.link = addLink(Link::connect(*endpoint, linkHandlers(), m_maxBacklogBytes));
+        out.link->peer = key.first;
+        out.link->isBulk = key.second == Lane::bulk;
     }
-    if (out.queued.size() < kMaxQueuedFrames)
-        out.queued.push_back(frame);
-    return out.link->id;
+    if (out.queued.size() >= kMaxQueuedFrames || out.queuedBytes + frame.size() > m_maxBacklogBytes)
+        return std::nullopt;
+    out.queued.push_back(frame);
+    out.queuedBytes += frame.size();
+    return out.link->ids.back();
 }
 
 void PeerHub::onOpen(Link& link)
 {
-    link.send(encode(m_self));
-    const auto it = m_outgoing.find(link.peer);
+    Hello hello = m_self;
+    hello.isBulk = link.isBulk;
+    link.send(encode(hello), false);
+    const auto it = m_outgoing.find({ link.peer, link.isBulk ? Lane::bulk : Lane::control });
     if (it == m_outgoing.end() || it->second.link != &link)
         return;
     for (const auto& frame : it->second.queued)
-        link.send(frame);
-    it->second.queued.clear();
+        link.send(frame, false);
+    it->second.queued = {};
+    it->second.queuedBytes = 0;
     it->second.opened = true;
 }
 
@@ -142,22 +207,34 @@
             return;
         }
         link.peer = hello->host;
-        if (!outgoing)
-            m_incoming[link.peer] = &link;
+        if (!outgoing) {
+            link.isBulk = hello->isBulk;
+            m_incoming[{ link.peer, link.isBulk ? Lane::bulk : Lane::control }] = &link;
+        }
+    }
+    if (std::holds_alternative<RelayReply>(*message)) {
+        const auto due = m_repliesDue.find(link.peer);
+        if (due != m_repliesDue.end() && --due->second == 0)
+            m_repliesDue.erase(due);
     }
     if (!link.peer.empty())
-        m_handlers.onMessage(link.peer, link.id, std::move(*message));
+        m_handlers.onMessage(link.peer, link.ids.front(), std::move(*message));
 }
 
 void PeerHub::onClose(Link& link)
 {
-    LostLink lost { link.id, link.peer, true };
-    const auto out = m_outgoing.find(lost.host);
-    if (out != m_outgoing.end() && out->second.link == &link) {
-        lost.opened = out->second.opened;
-        m_outgoing.erase(out);
+    LostLink lost { link.peer, link.ids, kNoLink };
+    const LinkKey key { link.peer, link.isBulk ? Lane::bulk : Lane::control };
+    const auto out = m_outgoing.find(key);
+    const bool isOutgoing = out != m_outgoing.end() && out->second.link == &link;
+    if (link.isHolding() || (isOutgoing && !out->second.opened)) {
+        lost.unsent = lost.links.back();
+        lost.links.pop_back();
     }
-    const auto in = m_incoming.find(lost.host);
+    if (isOutgoing)
+        m_outgoing.erase(out);
+    m_repliesDue.erase(link.peer);
+    const auto in = m_incoming.find(key);
     if (in != m_incoming.end() && in->second == &link)
         m_incoming.erase(in);
     const auto it = std::find_if(m_links.begin(), m_links.end(), [&](const auto& n) { return n.get() == &link; });
@@ -168,4 +245,16 @@
         m_handlers.onLost(lost);
 }
 
+void publishTraffic(Metrics& metrics, const PeerHub& hub)
+{
+    for (std::size_t kind = 0; kind < hub.sent().size(); ++kind) {
+        const auto& traffic = hub.sent()[kind];
+        if (traffic.messages == 0)
+            continue;
+        const Metrics::Labels labels = { { "kind", messageKind(kind) } };
+        metrics.raise("pistachiospur_peer_messages_total", labels, static_cast<double>(traffic.messages));
+        metrics.raise("pistachiospur_peer_bytes_total", labels, static_cast<double>(traffic.bytes));
+    }
+}
+
 } // namespace pistachiospur
--- a/src/peers/hub.h
+++ b/src/peers/hub.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "link.h"
+#include "observe/metrics.h"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <list>
@@ -18,9 +20,24 @@
 constexpr LinkId kNoLink = 0;
 
 struct LostLink {
-    LinkId link = 0;
     HostName host;
-    bool opened = false; // false: the link never opened, so no message sent on it left this host
+    std::vector<LinkId> links; // ids whose messages may have arrived
+    LinkId unsent = kNoLink; // id whose messages did not leave this host
+};
+
+// What the loss of a link means for a request that was sent under a link id.
+enum class LinkLoss {
+    unaffected,
+    notSent, // the request has not left this host
+    sent, // the request may have arrived
+};
+LinkLoss lossOf(const LostLink&, LinkId);
+
+// Two hosts keep separate links for short messages and for bodies, so that a body on a slow link does not hold up a
+// configuration, a range update or a heartbeat.
+enum class Lane : std::uint8_t {
+    control,
+    bulk,
 };
 
 class PeerHub {
@@ -31,25 +48,33 @@
         std::function<std::optional<Endpoint>(const HostName&)> findEndpoint;
     };
 
-    PeerHub(const Endpoint& listen, Hello self, Handlers);
+    PeerHub(const Endpoint& listen, Hello self, Handlers, std::size_t maxBacklogBytes = kDefaultMaxBacklogBytes);
     ~PeerHub();
     PeerHub(const PeerHub&) = delete;
     PeerHub& operator=(const PeerHub&) = delete;
 
-    // Sends a message and opens a link if there is none. Returns the link used, or nothing if the host's endpoint is
-    // not known.
-    std::optional<LinkId> send(const HostName& to, const Message&);
+    // Sends a message and opens a link if there is none. Returns the id under which its loss would be reported, or
+    // nothing if the message is not sent: the host's endpoint is not known, or too much waits for the link to open.
+    std::optional<LinkId> send(const HostName& to, const Message&, Lane = Lane::control);
+    // Sends a message on the link that has this id, behind what was sent there before. False if the link is closed.
+    bool sendVia(LinkId, const Message&);
     // Sends one message to several hosts. It is encoded only once.
     void send(const std::vector<HostName>& to, const Message&);
     std::size_t linkCount() const { return m_links.size(); }
-    std::uint64_t sentMessages() const { return m_sentMessages; }
-    std::uint64_t sentBytes() const { return m_sentBytes; }
+    struct Traffic {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+    };
+    // What was sent, by the message's index in Message.
+    const std::array<Traffic, std::variant_size_v<Message>>& sent() const { return m_sent; }
     std::uint16_t port() const { return m_port; }
 
 private:
+    using LinkKey = std::pair<HostName, Lane>;
     struct Outgoing {
         Link* link = nullptr;
         std::deque<std::string> queued; // frames to send when the link opens
+        std::size_t queuedBytes = 0;
         bool opened = false;
     };
 
@@ -60,11 +85,14 @@
     void onOpen(Link&);
     void onFrame(Link&, const std::string& frame);
     void onClose(Link&);
-    Link* openLinkTo(const HostName&);
-    std::optional<LinkId> sendFrame(const HostName& to, const std::string& frame);
+    Link* openLinkTo(const LinkKey&);
+    LinkId sendOn(Link&, const std::string& frame, bool proven);
+    std::optional<LinkId> sendFrame(const LinkKey&, const std::string& frame, bool proven);
+    void countSent(const Message&, const std::string& frame);
 
     Hello m_self;
     Handlers m_handlers;
+    std::size_t m_maxBacklogBytes;
     int m_listenFd;
     std::uint16_t m_port = 0;
     SocketWatcher m_acceptWatcher;
@@ -73,11 +101,14 @@
     std::list<std::unique_ptr<Link>> m_links;
     // Closed links. m_deleteTimer deletes them, because a link must not be deleted within one of its own calls.
     std::list<std::unique_ptr<Link>> m_closed;
-    std::map<HostName, Outgoing> m_outgoing;
-    std::map<HostName, Link*> m_incoming; // the newest incoming link of each host
+    std::map<LinkKey, Outgoing> m_outgoing;
+    std::map<LinkKey, Link*> m_incoming; // the newest incoming link of each host and lane
+    std::map<HostName, unsigned> m_repliesDue; // replies to relayed requests, by host
     LinkId m_nextLink = 1;
-    std::uint64_t m_sentMessages = 0;
-    std::uint64_t m_sentBytes = 0;
+    std::array<Traffic, std::variant_size_v<Message>> m_sent {};
 };
 
+// Publishes the hub's counts of messages and bytes, by kind.
+void publishTraffic(Metrics&, const PeerHub&);
+
 } // namespace pistachiospur
--- a/src/peers/link.cpp
+++ b/src/peers/link.cpp
@@ -15,16 +15,22 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 64u << 10;
-constexpr std::size_t kMaxFrameBytes = 80u << 20;
+constexpr std::size_t kMaxFrameBytes = 16u << 20;
+// Of websocketpp, for each link. Most messages are smaller.
+constexpr std::size_t kLibraryBufferBytes = 4096;
 
 struct ClientConfig : websocketpp::config::core_client {
     // NOLINTNEXTLINE(readability-identifier-naming): the library's name
     static const std::size_t max_message_size = kMaxFrameBytes;
+    // NOLINTNEXTLINE(readability-identifier-naming): the library's name
+    static const std::size_t connection_read_buffer_size = kLibraryBufferBytes;
 };
 
 struct ServerConfig : websocketpp::config::core {
     // NOLINTNEXTLINE(readability-identifier-naming): the library's name
     static const std::size_t max_message_size = kMaxFrameBytes;
+    // NOLINTNEXTLINE(readability-identifier-naming): the library's name
+    static const std::size_t connection_read_buffer_size = kLibraryBufferBytes;
 };
 
 // websocketpp's endpoint object, with the library's own log switched off. All links of one role share it.
@@ -53,15 +59,16 @@
 // A link over a connection of either role, websocketpp's client or server.
 template <typename Role> class SocketLink : public Link {
 public:
-    SocketLink(int fd, bool connecting, Handlers handlers)
+    SocketLink(int fd, bool connecting, Handlers handlers, std::size_t maxBacklogBytes)
         : m_fd(fd)
         , m_connecting(connecting)
         , m_handlers(std::move(handlers))
+        , m_maxBacklogBytes(maxBacklogBytes)
         , m_watcher([this](int events) { onEvents(events); })
         , m_closeTimer([this] { close(); })
         , m_lastReceived(monotonicNow())
         , m_lastUsed(m_lastReceived)
-        , m_lastPing(m_lastReceived)
+        , m_proofTimer([this] { close(); })
     {
         disableNagle(fd);
     }
@@ -102,13 +109,23 @@
         watch();
     }
 
-    void send(const std::string& frame) override
+    void send(const std::string& frame, bool proven) override
     {
         m_lastUsed = monotonicNow();
-        if (m_open)
-            m_connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+        if (!m_open)
+            return;
+        const bool stale = m_lastUsed - m_lastReceived >= kProofAge;
+        if (!isHolding() && !(proven && stale))
+            return write(frame);
+        m_held.push_back(frame);
+        if (m_held.size() > 1)
+            return;
+        ping();
+        m_proofTimer.once(kProofLimit);
     }
 
+    bool isHolding() const override { return !m_held.empty(); }
+
     void close() override
     {
         if (m_closed)
@@ -117,6 +134,7 @@
         m_open = false;
         m_watcher.stop();
         m_closeTimer.stop();
+        m_proofTimer.stop();
         if (m_fd >= 0)
             ::close(m_fd);
         m_fd = -1;
@@ -128,21 +146,21 @@
     Millis lastReceived() const override { return m_lastReceived; }
     Millis lastUsed() const override { return m_lastUsed; }
 
-    void check(Millis now) override
+    void check(Millis now, bool expectsReply) override
     {
         if (m_closed)
             return;
-        if (now - m_lastUsed >= kIdleLimit || now - m_lastReceived >= kSilenceLimit) {
+        const bool opening = !m_open && now - m_lastReceived >= kSilenceLimit;
+        const bool silent = m_awaitingSince && now - *m_awaitingSince >= kSilenceLimit;
+        if (now - m_lastUsed >= kIdleLimit || opening || silent) {
             close();
             return;
         }
-        // Any received bytes prove that the link works, so a pong is not needed.
-        const bool receivedRecently = now - m_lastReceived < kPingInterval;
-        if (m_open && !receivedRecently && now - m_lastPing >= kPingInterval) {
-            m_lastPing = now;
-            websocketpp::lib::error_code ec;
-            m_connection->ping("", ec);
-        }
+        // Any received bytes prove that the link works, so a reply to each message is not needed.
+        const bool unanswered = m_awaitingSince && now - *m_awaitingSince >= kPingInterval;
+        const bool due = expectsReply && !m_awaitingSince && now - m_lastReceived >= kPingInterval;
+        if (m_open && (unanswered || due))
+            ping();
     }
 
 private:
@@ -158,6 +176,28 @@
         m_connection->set_fail_handler(nullptr);
     }
 
+    void write(const std::string& frame)
+    {
+        if (!m_awaitingSince)
+            m_awaitingSince = monotonicNow();
+        m_connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+    }
+
+    void ping()
+    {
+        websocketpp::lib::error_code ec;
+        m_connection->ping("", ec);
+        if (!m_awaitingSince)
+            m_awaitingSince = monotonicNow();
+    }
+
+    void releaseHeld()
+    {
+        m_proofTimer.stop();
+        for (const auto& frame : std::exchange(m_held, {}))
+            write(frame);
+    }
+
     void watch()
     {
         if (m_fd < 0)
@@ -207,6 +247,9 @@
         if (n < 0)
             return;
         m_lastReceived = monotonicNow();
+        m_awaitingSince.reset();
+        if (!m_held.empty())
+            releaseHeld();
         std::size_t consumed = 0;
         while (consumed < static_cast<std::size_t>(n) && !m_closed) {
             const auto count = m_connection->read_some(buf.data() + consumed, static_cast<std::size_t>(n) - consumed);
@@ -231,7 +274,7 @@
                 m_sent = 0;
             }
         }
-        if (m_out.size() - m_sent > kMaxBacklogBytes)
+        if (m_out.size() - m_sent > m_maxBacklogBytes)
             m_closeTimer.once(Millis(0));
         watch();
     }
@@ -239,6 +282,7 @@
     int m_fd;
     bool m_connecting;
     Handlers m_handlers;
+    std::size_t m_maxBacklogBytes;
     SocketWatcher m_watcher;
     Timer m_closeTimer; // closes the link after the current callback has returned
     typename Role::connection_ptr m_connection;
@@ -249,23 +293,25 @@
     bool m_closed = false;
     Millis m_lastReceived;
     Millis m_lastUsed;
-    Millis m_lastPing;
+    std::optional<Millis> m_awaitingSince; // first message or ping sent since bytes last arrived
+    std::vector<std::string> m_held; // messages that wait for the proof that the link works
+    Timer m_proofTimer;
 };
 
 } // namespace
 
-std::unique_ptr<Link> Link::connect(const Endpoint& to, Handlers handlers)
+std::unique_ptr<Link> Link::connect(const Endpoint& to, Handlers handlers, std::size_t maxBacklogBytes)
 {
-    auto link = std::make_unique<SocketLink<Client>>(connectTo(to), true, std::move(handlers));
+    auto link = std::make_unique<SocketLink<Client>>(connectTo(to), true, std::move(handlers), maxBacklogBytes);
     websocketpp::lib::error_code ec;
     auto connection = sharedEndpoint<Client>().get_connection("ws://" + to.text() + "/peer", ec);
     link->begin(ec ? nullptr : connection);
     return link;
 }
 
-std::unique_ptr<Link> Link::accept(int fd, Handlers handlers)
+std::unique_ptr<Link> Link::accept(int fd, Handlers handlers, std::size_t maxBacklogBytes)
 {
-    auto link = std::make_unique<SocketLink<Server>>(fd, false, std::move(handlers));
+    auto link = std::make_unique<SocketLink<Server>>(fd, false, std::move(handlers), maxBacklogBytes);
     link->begin(sharedEndpoint<Server>().get_connection());
     return link;
 }
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -1,5 +1,8 @@
 #include "codec.h"
 
+#include <array>
+#include <stdexcept>
+
 namespace pistachiospur {
 
 using Json = nlohmann::json;
@@ -75,7 +78,7 @@
     it = std::move(answer);
 }
 
-PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation))
+PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation, it.isBulk))
 PISTACHIOSPUR_WIRE(Heartbeat,
     std::tie(it.incarnation, it.leaving, it.ready, it.isReply, it.revision, it.listDigest, it.rumours, it.suspicions))
 PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since))
@@ -87,8 +90,24 @@
 PISTACHIOSPUR_WIRE(ReleaseQuery, std::tie(it.upstream))
 PISTACHIOSPUR_WIRE(RenewerStatus, std::tie(it.applied, it.coordinating, it.settled, it.remaining))
 PISTACHIOSPUR_WIRE(ReleaseReport, std::tie(it.upstream, it.status))
-PISTACHIOSPUR_WIRE(Relay, std::tie(it.id, it.upstream, it.request))
-PISTACHIOSPUR_WIRE(RelayReply, std::tie(it.id, it.reply))
+PISTACHIOSPUR_WIRE(Relay, std::tie(it.id, it.upstream, it.request, it.flows, it.bodyBytes))
+
+static void to_json(Json& j, const RelayBody& it)
+{
+    j = pack(it.id, it.end);
+    j.push_back(toBinary(it.data));
+}
+
+static void from_json(const Json& j, RelayBody& it)
+{
+    unpack(j, it.id, it.end);
+    it.data = fromBinary(j.at(2));
+    if (it.end > RelayBody::End::broken)
+        throw std::out_of_range("unknown end of a body");
+}
+
+PISTACHIOSPUR_WIRE(RelayBodyCredit, std::tie(it.id, it.bytes))
+PISTACHIOSPUR_WIRE(RelayReply, std::tie(it.id, it.reply, it.wait))
 PISTACHIOSPUR_WIRE(RelayCancel, std::tie(it.id))
 PISTACHIOSPUR_WIRE(Endpoint, std::tie(it.address, it.port))
 PISTACHIOSPUR_WIRE(ListedHost, std::tie(it.host, it.dataCentre, it.peers, it.leaving))
@@ -102,7 +121,7 @@
 PISTACHIOSPUR_WIRE(LeaderAnnouncement, std::tie(it.service, it.host, it.incarnation, it.lease, it.revision))
 PISTACHIOSPUR_WIRE(LeaderSteppedDown, std::tie(it.service, it.incarnation, it.revision))
 PISTACHIOSPUR_WIRE(Range, std::tie(it.first, it.last, it.owner, it.fence, it.previous))
-PISTACHIOSPUR_WIRE(PreviousWriter, std::tie(it.writer, it.leaseEndedBy))
+PISTACHIOSPUR_WIRE(PreviousWriter, std::tie(it.writer, it.leaseEndedFor))
 PISTACHIOSPUR_WIRE(RangeTable, std::tie(it.writer, it.grantTtl, it.previousWriters, it.ranges))
 PISTACHIOSPUR_WIRE(RangeUpdate, std::tie(it.service, it.revision, it.base, it.changes, it.pending))
 PISTACHIOSPUR_WIRE(WatchUpdate, std::tie(it.batch, it.tables, it.lost))
@@ -122,6 +141,16 @@
 
 } // namespace
 
+const char* messageKind(std::size_t index)
+{
+    static constexpr std::array<const char*, std::variant_size_v<Message>> kNames = { "hello", "heartbeat",
+        "replica_request", "replica_batch", "replica_snapshot", "upstream_report", "stop_renewing", "renewal_stopped",
+        "release_query", "release_report", "relay", "relay_reply", "relay_cancel", "host_list_update", "load_report",
+        "range_update", "host_leaving", "leader_announcement", "leader_stepped_down", "watch_update", "relay_body",
+        "relay_body_credit" };
+    return kNames.at(index);
+}
+
 std::string encode(const Message& message)
 {
     const Json envelope = std::visit([&](const auto& body) { return pack(message.index(), body); }, message);
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -19,6 +19,7 @@
 struct Hello {
     HostName host;
     Incarnation incarnation;
+    bool isBulk = false; // the link carries bodies; the sender has another one for short messages
 };
 
 // Sent at intervals to a few hosts, and once in reply to each such heartbeat. Carries gossip about hosts and about
@@ -83,11 +84,33 @@
     std::uint64_t id = 0; // chosen by the sender
     UpstreamName upstream;
     Request request; // its deadline is the time left, counted from receipt
+    bool flows = false; // the request has the first part of its body; RelayBody brings the others
+    std::optional<std::uint64_t> bodyBytes {}; // size of a body that flows, if the caller declared it
+};
+
+// The next part of the body of a relayed request. The sender sends as many bytes as the receiver has given credit for.
+struct RelayBody {
+    enum class End : std::uint8_t {
+        none, // more follows
+        complete,
+        broken, // the caller has broken off
+    };
+    std::uint64_t id = 0;
+    std::string data;
+    End end = End::none;
+};
+
+// Allows the sender of a relayed request to send more bytes of its body. The first credit is given when the request is
+// sent to an upstream; until then nothing of the flowing part has left the first host.
+struct RelayBodyCredit {
+    std::uint64_t id = 0;
+    std::uint64_t bytes = 0;
 };
 
 struct RelayReply {
     std::uint64_t id = 0;
     Reply reply;
+    Millis wait {}; // that the sender expects for the next request like this one
 };
 
 // Cancels a relayed request, because the caller has disconnected or the deadline has passed.
@@ -162,7 +185,11 @@
 
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
     StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListUpdate,
-    LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate>;
+    LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate, RelayBody,
+    RelayBodyCredit>;
+
+// The name of a kind of message, by its index in Message, for metrics.
+const char* messageKind(std::size_t index);
 
 std::string encode(const Message&);
 // Returns nothing if the bytes are not exactly one well-formed message.
--- a/src/ranges/table.cpp
+++ b/src/ranges/table.cpp
@@ -44,9 +44,9 @@
     }
     Json previousWriters = Json::array();
     for (const auto& it : table.previousWriters)
-        previousWriters.push_back({ it.writer, it.leaseEndedBy.count() });
+        previousWriters.push_back({ it.writer, it.leaseEndedFor.count() });
     return Json {
-        { "writer", table.writer }, { "hold_ms", table.grantTtl.count() }, { "earlier", previousWriters },
+        { "writer", table.writer }, { "hold_ms", table.grantTtl.count() }, { "previous_writers", previousWriters },
         { "ranges", ranges }
     }.dump();
 }
@@ -59,7 +59,7 @@
         RangeTable table;
         table.writer = document.at("writer").get<std::string>();
         table.grantTtl = Millis(document.at("hold_ms").get<std::int64_t>());
-        for (const auto& it : document.at("earlier"))
+        for (const auto& it : document.at("previous_writers"))
             table.previousWriters.push_back({ it.at(0).get<std::string>(), Millis(it.at(1).get<std::int64_t>()) });
         for (const auto& it : document.at("ranges"))
             table.ranges.push_back(decodeRange(it, revision));
--- a/src/ranges/table.h
+++ b/src/ranges/table.h
@@ -33,11 +33,13 @@
 // A previous leader that wrote the table and may still be renewing grants.
 struct PreviousWriter {
     std::string writer;
-    Millis leaseEndedBy {}; // wall clock; its lease had ended by then
+    // For how long, at least, its lease had ended when the table was written. A duration, since hosts' times of day differ
+    // and jump.
+    Millis leaseEndedFor {};
 
     friend bool operator==(const PreviousWriter& a, const PreviousWriter& b)
     {
-        return a.writer == b.writer && a.leaseEndedBy == b.leaseEndedBy;
+        return a.writer == b.writer && a.leaseEndedFor == b.leaseEndedFor;
     }
 };
 
--- a/src/requests/refusal.cpp
+++ b/src/requests/refusal.cpp
@@ -34,6 +34,8 @@
     { "host-unreachable", 502, "The coordinating host accepts no connection", true },
     { "host-lost", 502, "The connection to the coordinating host broke", false },
     { "upstream-replaced", 503, "Another upstream has the address now", true },
+    { "memory-full", 503, "The bodies in transit use all the memory that they may", true },
+    { "unreadable-route", 503, "This version cannot read the route's configuration", false },
 } };
 
 } // namespace
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiospur/errors.h"
 #include "pistachiospur/types.h"
 
 #include <map>
@@ -28,6 +29,7 @@
 struct PrefixRoute {
     std::string name;
     std::string prefix; // begins and ends with a slash
+    bool isUsable = true; // false: its requests are refused, because a part of the route cannot be read
     bool idempotent = false; // a request may run more than once
     Millis timeout {}; // from receipt to the final answer
     Millis targetLatency {}; // an answer within this time has its full value to the caller
@@ -37,8 +39,10 @@
 
     friend bool operator==(const PrefixRoute& a, const PrefixRoute& b)
     {
-        return std::tie(a.name, a.prefix, a.idempotent, a.timeout, a.targetLatency, a.order, a.maxAttempts, a.services)
-            == std::tie(b.name, b.prefix, b.idempotent, b.timeout, b.targetLatency, b.order, b.maxAttempts, b.services);
+        return std::tie(a.name, a.prefix, a.isUsable, a.idempotent, a.timeout, a.targetLatency, a.order, a.maxAttempts,
+                   a.services)
+            == std::tie(b.name, b.prefix, b.isUsable, b.idempotent, b.timeout, b.targetLatency, b.order, b.maxAttempts,
+                b.services);
     }
 };
 
@@ -58,10 +62,10 @@
 
 // Max sizes of a caller's request, and max waits for its header and on an idle connection.
 struct CallerLimits {
-    std::size_t headerBytes = 0;
-    std::size_t bodyBytes = 0;
-    Millis headerTimeout {};
-    Millis idleTimeout {};
+    std::size_t headerBytes = 16u << 10;
+    std::size_t bodyBytes = 1u << 20;
+    Millis headerTimeout { 3000 };
+    Millis idleTimeout { 15000 };
 
     friend bool operator==(const CallerLimits& a, const CallerLimits& b)
     {
@@ -75,6 +79,7 @@
     std::map<std::string, std::vector<PrefixRoute>> virtualHosts; // by host name in lower case
     std::map<ServiceName, RoutedService> services;
     CallerLimits limits;
+    std::vector<FieldError> faults; // parts that this version cannot read; the others are in force
 
     friend bool operator==(const RoutingTable& a, const RoutingTable& b)
     {
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Millis kTickInterval { 10 };
-constexpr std::size_t kMaxBodyBytes = 1u << 20;
+constexpr std::size_t kMaxBodyBytes = 8u << 20;
 
 HttpResponse jsonResponse(int status, const Json& body)
 {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 // Tests of the gateway with its platform adapter over real sockets: a store, upstreams and hosts run in one process on
@@ -38,13 +39,14 @@
     return Json {
         { "version", digits }, { "services", { { { "name", "keyed" }, { "sharded", true } }, { { "name", "pool" } } } },
         { "limits",
-            { { "max-header-bytes", 16384 }, { "max-body-bytes", 100000 }, { "header-timeout-ms", 3000 },
+            { { "max-header-bytes", 16384 }, { "max-body-bytes", 4000000 }, { "header-timeout-ms", 3000 },
                 { "idle-timeout-ms", 15000 } } },
         { "virtual-hosts",
             { { { "hostname", "a.example" },
                 { "path-matches",
                     { route("get", prefix, "safe", "keyed"), route("post", "/unsafe/", "unsafe", "keyed"),
-                        route("pooled", "/pool/", "unsafe", "pool") } } } } }
+                        route("pooled", "/pool/", "unsafe", "pool"), route("up", "/up/", "upload", "pool"),
+                        route("strange", "/strange/", "a-kind-of-later-years", "pool") } } } } }
     }.dump();
 }
 
@@ -106,7 +108,7 @@
     HttpCall call(const std::string& target, const std::string& id, std::size_t host = 0) const
     {
         HttpCall request;
-        request.method = target.find("/unsafe/") == 0 || target.find("/pool/") == 0 ? "POST" : "GET";
+        request.method = target.find("/get/") == 0 || target.find("/moved/") == 0 ? "GET" : "POST";
         request.endpoint = callerEndpoints[host];
         request.target = target;
         request.headers = { { "Host", "a.example" }, { "Request-Id", id }, { "Deadline-Ms", "2500" },
@@ -118,9 +120,14 @@
 
     // Sends one request and waits for its answer; the status is 0 if there is none.
     HttpAnswer send(const std::string& target, const std::string& id, std::size_t host = 0)
+    {
+        return sendCall(call(target, id, host));
+    }
+
+    HttpAnswer sendCall(HttpCall request)
     {
         std::optional<HttpOutcome> outcome;
-        client.start(call(target, id, host), [&](HttpOutcome it) { outcome = std::move(it); });
+        client.start(std::move(request), [&](HttpOutcome it) { outcome = std::move(it); });
         runLoopUntil([&] { return outcome.has_value(); });
         const auto* answer = outcome ? std::get_if<HttpAnswer>(&*outcome) : nullptr;
         return answer ? *answer : HttpAnswer {};
@@ -208,6 +215,90 @@
     BOOST_TEST(site.send("/moved/x", "r3").status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(routeOfAnUnknownKindIsServedAsOneThatMayRunOnce)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed());
+    BOOST_TEST(site.send("/strange/x", "r1").status == 200);
+    BOOST_TEST(site.send("/get/x", "r2").status == 200);
+    BOOST_TEST(site.runCount("r1") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(uploadsOfEachSizeArriveWholeThroughBothHops)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed(0));
+    BOOST_REQUIRE(site.waitUntilServed(1));
+    int n = 0;
+    for (const std::size_t bytes : { std::size_t(1), std::size_t(60000), kHeldBodyBytes, std::size_t(3000000) }) {
+        for (std::size_t host = 0; host < 2; ++host) {
+            const std::string id = "up" + std::to_string(n++);
+            HttpCall call = site.call("/up/x", id, host);
+            call.body.resize(bytes);
+            for (std::size_t it = 0; it < bytes; ++it)
+                call.body[it] = static_cast<char>('a' + it % 23);
+            const std::string sent = call.body;
+            const HttpAnswer answer = site.sendCall(std::move(call));
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(site.runCount(id) == 1u);
+            BOOST_TEST((site.upstreams.back()->received.back().body == sent));
+        }
+    }
+    HttpCall tooLarge = site.call("/up/x", "large");
+    tooLarge.body.resize(4000001);
+    BOOST_TEST(site.sendCall(std::move(tooLarge)).status == 413);
+    BOOST_TEST(site.runCount("large") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(uploadWhoseCallerStallsOrGoesReachesNoUpstream)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed());
+    const int fd = connectTo(site.callerEndpoints[0]);
+    const std::string part = "POST /up/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: stall\r\nDeadline-Ms: 2500\r\n"
+                             "Content-Length: 1000\r\n\r\nhalf";
+    site.runLoopUntil([] { return false; }, Millis(50));
+    BOOST_REQUIRE(::write(fd, part.data(), part.size()) == static_cast<ssize_t>(part.size()));
+    site.runLoopUntil([] { return false; }, Millis(300));
+    BOOST_TEST(site.runCount("stall") == 0u);
+    ::close(fd);
+    BOOST_TEST(site.send("/up/x", "other").status == 200);
+    BOOST_TEST(site.runCount("stall") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(pipelinedRequestsRunSideBySideAndAreAnsweredInOrder)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed());
+    RangeUpstream* owner = site.holder(kSlot);
+    BOOST_REQUIRE(owner);
+    owner->runTime = Millis(1000);
+    const int fd = connectTo(site.callerEndpoints[0]);
+    site.runLoopUntil([] { return false; }, Millis(50));
+    std::string bytes;
+    for (int n = 0; n < 2; ++n)
+        bytes += "GET /get/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: p" + std::to_string(n)
+            + "\r\nDeadline-Ms: 2500\r\nShard-Key: " + std::to_string(kSlot) + "\r\n\r\n";
+    BOOST_REQUIRE(::write(fd, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
+    std::string answers;
+    const auto receive = [&] {
+        char buf[4096];
+        const auto n = ::recv(fd, buf, sizeof buf, MSG_DONTWAIT);
+        if (n > 0)
+            answers.append(buf, static_cast<std::size_t>(n));
+    };
+    // Both run before either is answered.
+    BOOST_TEST(site.runLoopUntil([&] { return site.runCount("p0") == 1 && site.runCount("p1") == 1; }));
+    receive();
+    BOOST_TEST(answers.empty());
+    site.runLoopUntil([&] {
+        receive();
+        return answers.find("seal-p1") != std::string::npos;
+    });
+    BOOST_TEST(answers.find("seal-p0") < answers.find("seal-p1"));
+    ::close(fd);
+}
+
 BOOST_AUTO_TEST_CASE(drainingUpstreamsSlotsMoveWithHandoverToOneOwner)
 {
     Fixture site;
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -86,9 +86,9 @@
 {
     BOOST_TEST(!decodeRangeTable("", {}));
     BOOST_TEST(!decodeRangeTable("[]", {}));
-    BOOST_TEST(!decodeRangeTable(R"({"writer":"a","hold_ms":1,"earlier":[],"ranges":[]})", {}));
+    BOOST_TEST(!decodeRangeTable(R"({"writer":"a","hold_ms":1,"previous_writers":[],"ranges":[]})", {}));
     BOOST_TEST(!decodeRangeTable(
-        R"({"writer":"a","hold_ms":1,"earlier":[],"ranges":[{"first":0,"last":7,"owner":["u",1],"fence":1}]})", {}));
+        R"({"writer":"a","hold_ms":1,"previous_writers":[],"ranges":[{"first":0,"last":7,"owner":["u",1],"fence":1}]})", {}));
 }
 
 RC_BOOST_PROP(changesTurnTheEarlierTableIntoTheLater, ())
--- a/tests/translation_test.cpp
+++ b/tests/translation_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <rapidcheck/boost_test.h>
 
 using namespace pistachiospur;
 namespace leaf = boost::leaf;
@@ -35,11 +36,48 @@
         [] { return std::string("unknown"); });
 }
 
+// The decoded configuration; nothing if it is refused as a whole.
+std::optional<RoutingTable> decoded(const Json& document)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<RoutingTable>> {
+            BOOST_LEAF_AUTO(table, platform::decodeConfiguration(document.dump()));
+            return std::optional(std::move(table));
+        },
+        []() -> std::optional<RoutingTable> { return std::nullopt; });
+}
+
+// The field of the first fault, whether it costs one part or the whole configuration; empty if there is none.
 std::string configurationFault(const Json& document)
 {
+    if (const auto table = decoded(document))
+        return table->faults.empty() ? "" : table->faults.front().field;
     return faultyField([&] { return platform::decodeConfiguration(document.dump()); });
 }
 
+// A random value that a field may not expect.
+Json randomValue()
+{
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        return nullptr;
+    case 1:
+        return *rc::gen::arbitrary<bool>();
+    case 2:
+        return *rc::gen::inRange(-5, 100000);
+    case 3:
+        return *rc::gen::inRange(-5, 1000) / 7.0;
+    case 4:
+        return "word";
+    case 5:
+        return Json::array({ 1, "two", nullptr });
+    case 6:
+        return Json { { "service", 1 }, { "new", true } };
+    default:
+        return 1e300;
+    }
+}
+
 std::string entryFault(const std::string& text)
 {
     return faultyField([&] { return platform::decodeUpstream("i-1", text); });
@@ -117,6 +155,79 @@
     BOOST_TEST(configurationFault(validConfiguration()) == "");
 }
 
+BOOST_AUTO_TEST_CASE(partThatCannotBeReadCostsThatPartAlone)
+{
+    const auto routesOf = [](const Json& document) { return decoded(document)->virtualHosts.at("f.example"); };
+    Json document = validConfiguration();
+    auto& routes = document["virtual-hosts"][0]["path-matches"];
+    // A kind of route that this version does not know may run once at most.
+    routes[0]["route-type"] = "teleport";
+    BOOST_TEST(configurationFault(document) == "route-type");
+    BOOST_TEST(!routesOf(document)[0].idempotent);
+    BOOST_TEST(routesOf(document)[0].isUsable);
+    routes[0]["route-type"] = "upload";
+    BOOST_TEST(configurationFault(document) == "");
+    BOOST_TEST(!routesOf(document)[0].idempotent);
+    // A route that leads nowhere is refused, the other is served.
+    routes[0]["traffic-split"][0]["service"] = "nobody";
+    BOOST_TEST(!routesOf(document)[0].isUsable);
+    BOOST_TEST(routesOf(document)[1].isUsable);
+    // A route without a readable prefix is left out.
+    routes[0]["path-prefix"] = 7;
+    BOOST_TEST(routesOf(document).size() == 1u);
+    // Fields that this version does not know are no fault.
+    document = validConfiguration();
+    document["new"] = 1;
+    document["services"][0]["new"] = "x";
+    document["virtual-hosts"][0]["new"] = Json::array();
+    BOOST_TEST(configurationFault(document) == "");
+    // Limits that cannot be read have defaults.
+    document["limits"]["max-body-bytes"] = "many";
+    BOOST_TEST(configurationFault(document) == "max-body-bytes");
+    BOOST_TEST(decoded(document)->limits.headerBytes == 16384u);
+    BOOST_TEST(decoded(document)->limits.bodyBytes == CallerLimits {}.bodyBytes);
+}
+
+RC_BOOST_PROP(configurationWithRandomFieldsIsReadAndItsOtherRoutesAreServed, ())
+{
+    Json document = validConfiguration();
+    auto& host = document["virtual-hosts"][0];
+    host["path-matches"].push_back(host["path-matches"][1]);
+    host["path-matches"][2]["path-prefix"] = "/z/";
+    // Faults in the first two routes, the first service, the limits and unknown fields; the third route stays as it is.
+    const std::vector<std::pair<Json::json_pointer, std::vector<std::string>>> places = {
+        { Json::json_pointer("/virtual-hosts/0/path-matches/0"),
+            { "name", "path-prefix", "route-type", "timeout-ms", "target-latency-ms", "priority", "max-attempts",
+                "traffic-split", "service", "new" } },
+        { Json::json_pointer("/virtual-hosts/0/path-matches/1"), { "path-prefix", "service", "timeout-ms", "new" } },
+        { Json::json_pointer("/services/0"), { "name", "health-path", "max-conns", "sharded", "warm-s", "new" } },
+        { Json::json_pointer("/limits"), { "max-header-bytes", "max-body-bytes", "idle-timeout-ms", "new" } },
+    };
+    for (int n = *rc::gen::inRange(1, 6); n > 0; --n) {
+        const auto& [place, fields] = *rc::gen::elementOf(places);
+        document[place][*rc::gen::elementOf(fields)] = randomValue();
+    }
+    const auto table = decoded(document);
+    RC_ASSERT(table.has_value());
+    const auto* route = matchRoute(*table, "f.example", "/z/1");
+    RC_ASSERT(route && route->isUsable && !route->idempotent);
+    RC_ASSERT(route->services.front().service == "b");
+    for (const auto& it : table->virtualHosts.at("f.example")) {
+        for (const auto& part : it.services)
+            RC_ASSERT(!it.isUsable || table->services.count(part.service));
+    }
+}
+
+RC_BOOST_PROP(upstreamEntryWithRandomFieldsIsReadOrRefused, ())
+{
+    Json entry = Json::parse(kValidEntry);
+    for (const char* field : { "service", "address", "zone", "slots", "state", "born", "warmup-left-ms", "new" }) {
+        if (*rc::gen::inRange(0, 3) == 0)
+            entry[field] = randomValue();
+    }
+    entryFault(entry.dump()); // must not throw
+}
+
 BOOST_AUTO_TEST_CASE(errorForAnInvalidUpstreamEntryNamesTheField)
 {
     BOOST_TEST(entryFault(kValidEntry) == "");
@@ -194,16 +305,27 @@
 
 BOOST_AUTO_TEST_CASE(orderOutcomeIsUnansweredUnlessTheStatusProvesMore)
 {
-    const auto verdict = [](int status) { return platform::interpretGrant(HttpAnswer { status, {}, "" }); };
+    const auto verdict = [](int status) { return platform::interpretGrant(HttpAnswer { status, {}, "" }, "7"); };
     BOOST_TEST((verdict(200) == OrderVerdict::done));
     BOOST_TEST((verdict(409) == OrderVerdict::outdatedFence));
     BOOST_TEST((verdict(421) == OrderVerdict::otherInstance));
     BOOST_TEST((verdict(400) == OrderVerdict::refused));
     BOOST_TEST((verdict(500) == OrderVerdict::unanswered));
-    BOOST_TEST((platform::interpretGrant(HttpFailure { HttpFault::notSent }) == OrderVerdict::notSent));
-    BOOST_TEST((platform::interpretGrant(HttpFailure { HttpFault::timeout }) == OrderVerdict::unanswered));
-    const auto released = platform::interpretRelease(HttpAnswer { 200, { { "handover", "abc" } }, "" });
+    BOOST_TEST((platform::interpretGrant(HttpFailure { HttpFault::notSent }, "7") == OrderVerdict::notSent));
+    BOOST_TEST((platform::interpretGrant(HttpFailure { HttpFault::timeout }, "7") == OrderVerdict::unanswered));
+    const auto released = platform::interpretRelease(HttpAnswer { 200, { { "handover", "abc" } }, "" }, "7");
     BOOST_TEST((released.verdict == OrderVerdict::done && released.handover == "abc"));
 }
 
+BOOST_AUTO_TEST_CASE(secondAnswerToAnEarlierOrderProvesNothingAboutALaterOne)
+{
+    const HttpAnswer late { 200, { { "request-id", "6" }, { "handover", "abc" } }, "" };
+    BOOST_TEST((platform::interpretGrant(late, "6") == OrderVerdict::done));
+    BOOST_TEST((platform::interpretGrant(late, "7") == OrderVerdict::unanswered));
+    BOOST_TEST((platform::interpretRelease(late, "7").verdict == OrderVerdict::unanswered));
+    const UpstreamInstance upstream { { "i-1", { 5 } }, "a", { "10.0.0.1", 80 }, "z", 2, false, {} };
+    BOOST_TEST(headerIn(platform::grantCall(upstream, { { 0 }, { 1 }, { 3 }, Millis(100), "", "7" }), "Request-Id") == "7");
+    BOOST_TEST(platform::releaseCall(upstream, { { 0 }, { 1 }, { 3 }, "7" }).freshConnection);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
