--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -159,6 +159,8 @@
     std::size_t consumed = 0;
     const bool headWasDone = m_impl->headDone;
     while (!m_impl->is_done() && !m_impl->error && consumed < bytes.size()) {
+        if (m_impl->headDone && m_impl->chunked() && bytes.size() - consumed < kLastChunk.size())
+            break; // Beast asserts that the last chunk is complete when it sees its second part
         beast::error_code ec;
         consumed += m_impl->put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), ec);
         if (ec == http::error::need_more)
--- a/src/io/http_pipeline.cpp
+++ b/src/io/http_pipeline.cpp
@@ -258,7 +258,7 @@
     slot->response = std::move(response);
     slot->complete = true;
     // A response that comes before the whole body has arrived ends the connection; the rest of the body is not wanted.
-    const bool bodyArriving = m_parser && slot == &m_slots.back();
+    const bool bodyArriving = m_headSeen && slot == &m_slots.back();
     if (bodyArriving)
         endInput();
     else if (closes)
