Store watcher and queues: no work for hosts and requests that have not changed

Each tick copied and sorted the names of all hosts, and each update of a range table refreshed every queue.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -142,27 +142,35 @@
 std::optional<HostName> firstUsable(const GatewayContext& context, const std::vector<HostName>& order)
 {
     const Millis now = monotonicNow();
-    for (const auto& host : order) {
-        const auto found = context.directory.hosts().find(host);
-        if (found != context.directory.hosts().end() && canTakeWork(context, found->second, now))
-            return host;
-    }
-    return std::nullopt;
+    const auto it = std::find_if(
+        order.begin(), order.end(), [&](const HostName& host) { return canTakeWork(context, host, now); });
+    return it == order.end() ? std::nullopt : std::optional(*it);
 }
 
 } // namespace
 
-std::vector<HostName> hostsFor(
+bool canTakeWork(const GatewayContext& context, const HostName& host, Millis now)
+{
+    const auto found = context.directory.hosts().find(host);
+    return found != context.directory.hosts().end() && canTakeWork(context, found->second, now);
+}
+
+const std::vector<HostName>& rankedHosts(
     const GatewayContext& context, const std::string& name, const DataCentreName& near, HostOrder hostOrder)
 {
     auto [it, added] = currentRankings(context).all.try_emplace(rankingKey(name, near, hostOrder));
     if (added)
         it->second = rankHosts(context, name, near, hostOrder, context.directory.hosts().size());
+    return it->second;
+}
+
+std::vector<HostName> hostsFor(
+    const GatewayContext& context, const std::string& name, const DataCentreName& near, HostOrder hostOrder)
+{
     const Millis now = monotonicNow();
     std::vector<HostName> hosts;
-    for (const auto& host : it->second) {
-        const auto found = context.directory.hosts().find(host);
-        if (found != context.directory.hosts().end() && canTakeWork(context, found->second, now))
+    for (const auto& host : rankedHosts(context, name, near, hostOrder)) {
+        if (canTakeWork(context, host, now))
             hosts.push_back(host);
     }
     return hosts;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -66,6 +66,11 @@
 // directory and on which hosts can take work. If `near` is not empty, hosts of that data centre come first.
 std::vector<HostName> hostsFor(
     const GatewayContext&, const std::string& name, const DataCentreName& near, HostOrder = HostOrder::proportional);
+// The order of all hosts, whether or not they can take work now. Valid until the hosts change.
+const std::vector<HostName>& rankedHosts(
+    const GatewayContext&, const std::string& name, const DataCentreName& near, HostOrder = HostOrder::proportional);
+// Whether a host can take work now.
+bool canTakeWork(const GatewayContext&, const HostName&, Millis now);
 // The first host of that order; nothing if no host can take work.
 std::optional<HostName> firstHostFor(
     const GatewayContext&, const std::string& name, const DataCentreName& near, HostOrder = HostOrder::proportional);
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -299,6 +299,16 @@
     }
 }
 
+void Dispatcher::refreshRanges()
+{
+    for (auto& [name, pool] : m_pools) {
+        if (waitingCount(pool.queue) == 0)
+            continue;
+        refuseMoved(pool);
+        startWaiting(pool);
+    }
+}
+
 std::vector<LoadReport::Run> Dispatcher::meanRunTimes(const ServiceName& service) const
 {
     std::vector<LoadReport::Run> runs;
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -32,8 +32,10 @@
     void cancel(JobId);
     // Refuses waiting requests that can no longer meet their deadline, and starts others.
     void tick();
-    // Updates all queues after a change of upstreams or ranges.
+    // Updates all queues after a change of upstreams or of the configuration.
     void refresh();
+    // Updates the queues of waiting requests after a change of ranges.
+    void refreshRanges();
 
     // Expected wait of a new request of a rank for an upstream or group; zero if a slot is free.
     Millis expectedWait(const ServiceName&, const UpstreamName&, RankOrder) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -134,7 +134,7 @@
     for (auto& [name, leader] : m_leaders)
         leader->tick();
     if (std::exchange(m_context.rangesChanged, false)) {
-        m_dispatcher.refresh();
+        m_dispatcher.refreshRanges();
         m_frontend.refresh();
     }
     m_dispatcher.tick();
@@ -287,7 +287,7 @@
             m_context.directory.recordTable(update.service, std::move(next));
     }
     pending = { update.revision, std::move(update.pending), monotonicNow() };
-    m_dispatcher.refresh();
+    m_dispatcher.refreshRanges();
     m_frontend.refresh();
 }
 
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -45,24 +45,31 @@
         < partOfChangeTime(m_context, kMaxAnswerAgePercent);
 }
 
-HostName chooseWatchHost(const std::vector<HostName>& order, const std::map<HostName, Millis>& failedUntil, Millis now)
+HostName chooseWatchHost(const std::vector<HostName>& order, const std::function<bool(const HostName&)>& isUsable,
+    const std::map<HostName, Millis>& failedUntil, Millis now)
 {
+    HostName firstUsable;
     for (const auto& host : order) {
+        if (!isUsable(host))
+            continue;
         const auto failed = failedUntil.find(host);
         if (failed == failedUntil.end() || now >= failed->second)
             return host;
+        if (firstUsable.empty())
+            firstUsable = host;
     }
-    return order.empty() ? HostName() : order.front();
+    return firstUsable;
 }
 
 void StoreWatcher::tick()
 {
     const Millis now = monotonicNow();
     const auto& dataCentre = m_context.settings.dataCentre;
-    auto order = hostsFor(m_context, "watcher/" + dataCentre, dataCentre, HostOrder::fastestFirst);
-    if (order.empty())
-        order.push_back(m_context.settings.host);
-    const HostName watchHost = chooseWatchHost(order, m_failedUntil, now);
+    const auto& order = rankedHosts(m_context, "watcher/" + dataCentre, dataCentre, HostOrder::fastestFirst);
+    HostName watchHost = chooseWatchHost(
+        order, [&](const HostName& host) { return canTakeWork(m_context, host, now); }, m_failedUntil, now);
+    if (watchHost.empty())
+        watchHost = m_context.settings.host;
     if (watchHost != m_watchHost) {
         m_watchHost = watchHost;
         m_watchHostSince = m_lastHeardAt = now;
@@ -71,7 +78,7 @@
     const bool watchesHere = isSelf(m_context, m_watchHost);
     m_context.directory.setWatching(watchesHere);
     if (watchesHere)
-        watch(now, order.size());
+        watch(now);
     else if (now - m_lastHeardAt >= partOfChangeTime(m_context,
                  m_failedUntil.empty() ? kHeartbeatTimeoutPercent : kHeartbeatTimeoutAfterFailurePercent))
         markFailed(m_watchHost, "silent");
@@ -79,9 +86,9 @@
 
 // Runs on the watching host: sends heartbeats while the store answers. If the watch has failed and there are other
 // hosts, announces that, so that another host takes over.
-void StoreWatcher::watch(Millis now, std::size_t hosts)
+void StoreWatcher::watch(Millis now)
 {
-    if (hosts > 1 && m_context.directory.watchFailedAt() >= m_watchHostSince) {
+    if (m_context.directory.watchFailedAt() >= m_watchHostSince && hasOtherHosts(now)) {
         markFailed(m_context.settings.host, "store does not answer");
         m_context.hub.send(followers(), WatchUpdate { {}, {}, true });
         return;
@@ -92,6 +99,13 @@
     send({ revision, revision, {} });
 }
 
+bool StoreWatcher::hasOtherHosts(Millis now) const
+{
+    const auto& hosts = m_context.directory.hosts();
+    return std::any_of(hosts.begin(), hosts.end(),
+        [&](const auto& it) { return !isSelf(m_context, it.first) && canTakeWork(m_context, it.first, now); });
+}
+
 void StoreWatcher::markFailed(const HostName& host, const char* reason)
 {
     m_failedUntil[host] = monotonicNow() + kFailedWatchPause;
--- a/src/gateway/watcher.h
+++ b/src/gateway/watcher.h
@@ -2,13 +2,17 @@
 
 #include "context.h"
 
+#include <functional>
+
 // One host of each data centre watches the store and forwards the changes to the data centre's other hosts, so that a
 // change costs the store one call per data centre rather than one per host. All hosts choose the watching host by the
 // same rule. If its watch fails, or its heartbeats stop, the next host in the order takes over.
 namespace pistachiospur {
 
-// The first host in the order whose watch is not marked as failed now. If all are marked, the first host.
-HostName chooseWatchHost(const std::vector<HostName>& order, const std::map<HostName, Millis>& failedUntil, Millis now);
+// The first usable host in the order whose watch is not marked as failed now. If all are marked, the first usable one;
+// empty if none is usable.
+HostName chooseWatchHost(const std::vector<HostName>& order, const std::function<bool(const HostName&)>& isUsable,
+    const std::map<HostName, Millis>& failedUntil, Millis now);
 
 class StoreWatcher {
 public:
@@ -19,7 +23,8 @@
 
 private:
     bool isStoreAnswering() const;
-    void watch(Millis now, std::size_t hosts);
+    void watch(Millis now);
+    bool hasOtherHosts(Millis now) const;
     void markFailed(const HostName&, const char* reason);
     std::vector<HostName> followers() const;
     void send(const ChangeBatch&);
