Large bodies by turn, kept connections for orders, whole heads, guarded callbacks

Now the first host sends a large body itself when the coordinator gives it a turn. Each renewal of a grant opened a connection, since libcurl keeps four times as many as calls run.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -108,7 +108,7 @@
             [](const HostLeaving&) {},
             [](const LeaderAnnouncement&) {},
             [](const LeaderSteppedDown&) {},
-            [](const WatchUpdate&) {}, [](const RelayBody&) {}, [](const RelayBodyCredit&) {},
+            [](const WatchUpdate&) {}, [](const RelayTurn&) {}, [](const RelayTurnOver&) {},
         },
         message);
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -103,6 +103,7 @@
     bool isProvenEnded(const InstanceId&) const;
 
     LeasedStore& store() { return *m_store; }
+    const LeasedStore& store() const { return *m_store; }
     // True while this host's last write of its own entry succeeded and its lease has not ended.
     bool hasHostEntry() const { return m_hostEntryWritten; }
     void recordStoreFailure(const char* call, const StoreError& error) { onStoreFailure(call, error); }
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -27,6 +27,9 @@
 constexpr double kRemoteCostFactor = 1.1;
 // Added to the cost of an avoided upstream, so that it ranks behind all others.
 constexpr double kAvoidedCostMs = 10000;
+// A host reports the end of a turn at the request's deadline at the latest; a lost report is noticed this much later.
+constexpr Millis kTurnMargin { 500 };
+constexpr Millis kTurnCheckInterval { 500 };
 // Retry-After for the caller when no upstream can take the request.
 constexpr Millis kRefusalRetryAfter { 250 };
 
@@ -38,6 +41,30 @@
 
 } // namespace
 
+HttpClient::CallId sendRequest(GatewayContext& context, const UpstreamInstance& upstream, const Request& request,
+    const FlowingBody& rest, std::function<void(Reply)> callback)
+{
+    const Millis startedAt = monotonicNow();
+    HttpCall call
+        = context.adapter.requestCall(upstream, request, std::max(Millis(1), request.deadline - startedAt));
+    call.rest = rest.pipe;
+    call.bodyBytes = rest.totalBytes;
+    // The answer is checked against the request's id alone, so the body need not be kept for it.
+    Request sent = request;
+    sent.body = {};
+    return context.http.start(std::move(call),
+        [&context, sent = std::move(sent), name = upstream.id.name, startedAt, callback = std::move(callback)](
+            HttpOutcome outcome) {
+            Reply reply = context.adapter.interpretAnswer(std::move(outcome), sent, name);
+            if (const auto* refusal = std::get_if<Refusal>(&reply))
+                logEvent(EventKind::request, "upstream_failed",
+                    { { "request", sent.id }, { "upstream", name }, { "outcome", outcomeName(reply) },
+                        { "ran", refusal->ran == Ran::no ? "no" : "unknown" },
+                        { "ms", (monotonicNow() - startedAt).count() }, { "slot", sent.slot.value } });
+            callback(std::move(reply));
+        });
+}
+
 Dispatcher::Dispatcher(GatewayContext& context)
     : m_context(context)
 {
@@ -98,23 +125,39 @@
 Dispatcher::JobId Dispatcher::submit(
     const UpstreamName& upstreamOrGroup, Request request, Callback callback, FlowingBody rest)
 {
-    Pool& pool = findOrCreatePool(request.service, upstreamOrGroup);
+    Job job;
+    job.request = std::move(request);
+    job.callback = std::move(callback);
+    job.rest = std::move(rest);
+    return enqueueJob(upstreamOrGroup, std::move(job));
+}
+
+Dispatcher::JobId Dispatcher::submitForTurn(
+    const UpstreamName& upstreamOrGroup, Request request, Callback callback, TurnCallback onTurn)
+{
+    Job job;
+    job.request = std::move(request);
+    job.callback = std::move(callback);
+    job.onTurn = std::move(onTurn);
+    return enqueueJob(upstreamOrGroup, std::move(job));
+}
+
+Dispatcher::JobId Dispatcher::enqueueJob(const UpstreamName& upstreamOrGroup, Job added)
+{
+    Pool& pool = findOrCreatePool(added.request.service, upstreamOrGroup);
     refreshSlots(pool);
     if (pool.policy.maxConcurrent == 0) {
-        callback(notRun(RefusalReason::noOwner, kRefusalRetryAfter));
+        added.callback(notRun(RefusalReason::noOwner, kRefusalRetryAfter));
         return 0;
     }
-    if (!mayServe(m_context, request, upstreamOrGroup, monotonicNow())) {
-        callback(notRun(RefusalReason::notCoordinator));
+    if (!mayServe(m_context, added.request, upstreamOrGroup, monotonicNow())) {
+        added.callback(notRun(RefusalReason::notCoordinator));
         return 0;
     }
     const JobId id = m_nextJob++;
-    const WaitingRequest waiting { id, request.order, request.deadline };
+    const WaitingRequest waiting { id, added.request.order, added.request.deadline };
     m_poolNames[id] = nameOf(pool);
-    Job& job = pool.jobs[id];
-    job.request = std::move(request);
-    job.callback = std::move(callback);
-    job.rest = std::move(rest);
+    pool.jobs.emplace(id, std::move(added));
     if (const auto reason = enqueue(pool.queue, pool.policy, waiting, monotonicNow())) {
         finish(pool, id, notRun(*reason, kRefusalRetryAfter));
         return 0;
@@ -167,35 +210,32 @@
     job.startedAt = monotonicNow();
     job.instance = entry.instance.id;
     ++pool.members[job.instance].running;
-    const Millis left = std::max(Millis(1), job.request.deadline - job.startedAt);
-    HttpCall call = m_context.adapter.requestCall(entry.instance, job.request, left);
-    call.rest = job.rest.pipe;
-    call.bodyBytes = job.rest.totalBytes;
-    if (job.rest.onStart)
-        job.rest.onStart();
-    job.call = m_context.http.start(std::move(call),
-        [this, pool = nameOf(pool), id](HttpOutcome outcome) { onOutcome(pool, id, std::move(outcome)); });
+    if (job.onTurn)
+        return job.onTurn(job.instance);
+    job.call = sendRequest(m_context, entry.instance, job.request, job.rest,
+        [this, pool = nameOf(pool), id](Reply reply) { onReply(pool, id, std::move(reply)); });
+}
+
+void Dispatcher::endTurn(JobId id, Reply reply)
+{
+    const auto pool = m_poolNames.find(id);
+    if (pool != m_poolNames.end() && m_pools.at(pool->second).jobs.at(id).running)
+        onReply(std::string(pool->second), id, std::move(reply));
 }
 
-void Dispatcher::onOutcome(const std::string& poolName, JobId id, HttpOutcome outcome)
+void Dispatcher::onReply(const std::string& poolName, JobId id, Reply reply)
 {
     Pool& pool = m_pools.at(poolName);
     const Job& job = pool.jobs.at(id);
     const Millis now = monotonicNow();
-    Reply reply = m_context.adapter.interpretAnswer(std::move(outcome), job.request, job.instance.name);
     Member& member = pool.members[job.instance];
-    if (const auto* refusal = std::get_if<Refusal>(&reply)) {
-        if (refusal->ran == Ran::no)
-            member.avoidedUntil = now + kAvoidTime;
-        logEvent(EventKind::request, "upstream_failed",
-            { { "request", job.request.id }, { "upstream", job.instance.name }, { "outcome", outcomeName(reply) },
-                { "ran", refusal->ran == Ran::no ? "no" : "unknown" }, { "ms", (now - job.startedAt).count() },
-                { "slot", job.request.slot.value } });
-    } else {
+    const auto* refusal = std::get_if<Refusal>(&reply);
+    if (refusal && refusal->ran == Ran::no) {
+        member.avoidedUntil = now + kAvoidTime;
+    } else if (!refusal) {
         const double ms = static_cast<double>((now - job.startedAt).count());
         member.runMs = member.runMs == 0 ? ms : member.runMs + kRunTimeWeight * (ms - member.runMs);
     }
-    const auto* refusal = std::get_if<Refusal>(&reply);
     const bool replaced = refusal && refusal->reason == RefusalReason::upstreamReplaced;
     const InstanceId instance = job.instance;
     finish(pool, id, std::move(reply));
@@ -227,7 +267,7 @@
         return;
     Pool& pool = m_pools.at(found->second);
     const Job& job = pool.jobs.at(id);
-    if (job.running && !job.request.idempotent)
+    if (job.running && (!job.request.idempotent || job.onTurn))
         return;
     const bool ran = job.running;
     if (ran)
@@ -238,9 +278,28 @@
     startWaiting(pool);
 }
 
+// Frees the slots of requests whose first host has not reported their end in time.
+void Dispatcher::endOverdueTurns()
+{
+    const Millis now = monotonicNow();
+    if (now < m_nextTurnCheckAt)
+        return;
+    m_nextTurnCheckAt = now + kTurnCheckInterval;
+    std::vector<JobId> overdue;
+    for (const auto& [name, pool] : m_pools) {
+        for (const auto& [id, job] : pool.jobs) {
+            if (job.running && job.onTurn && now >= job.request.deadline + kTurnMargin)
+                overdue.push_back(id);
+        }
+    }
+    for (const auto id : overdue)
+        endTurn(id, maybeRun(RefusalReason::upstreamTimeout));
+}
+
 void Dispatcher::tick()
 {
     const Millis now = monotonicNow();
+    endOverdueTurns();
     for (auto& [name, pool] : m_pools) {
         if (waitingCount(pool.queue) == 0)
             continue;
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -15,12 +15,17 @@
 struct FlowingBody {
     std::shared_ptr<BodyPipe> pipe; // null if the request has its whole body
     std::optional<std::uint64_t> totalBytes; // of the whole body; nothing if the caller did not declare it
-    std::function<void()> onStart; // called when the request is sent to an upstream; may be empty
 };
 
+// Sends a request to an upstream and interprets its answer. The callback runs later, exactly once, unless the call is
+// cancelled first.
+HttpClient::CallId sendRequest(
+    GatewayContext&, const UpstreamInstance&, const Request&, const FlowingBody&, std::function<void(Reply)>);
+
 class Dispatcher {
 public:
     using Callback = std::function<void(Reply)>;
+    using TurnCallback = std::function<void(const InstanceId&)>;
     using JobId = std::uint64_t;
 
     explicit Dispatcher(GatewayContext&);
@@ -28,6 +33,11 @@
     // Queues a request for an upstream or for a group of its pooled service, and sends it at most once. The callback
     // runs exactly once, possibly before this function returns; the result is 0 if the request has finished by then.
     JobId submit(const UpstreamName&, Request, Callback, FlowingBody = {});
+    // Queues a request that its first host sends itself. `onTurn` runs when the request has a slot of an upstream, which
+    // it keeps until endTurn(), or until its deadline. The callback runs instead if the request is refused before.
+    JobId submitForTurn(const UpstreamName&, Request, Callback, TurnCallback);
+    // Frees the slot of a request that had its turn.
+    void endTurn(JobId, Reply);
     // Drops a waiting request. A running request is aborted only if it is idempotent.
     void cancel(JobId);
     // Refuses waiting requests that can no longer meet their deadline, and starts others.
@@ -51,6 +61,7 @@
         Request request;
         Callback callback;
         FlowingBody rest;
+        TurnCallback onTurn; // empty if this host sends the request
         InstanceId instance; // runs the request; set once `running`
         Millis startedAt {};
         HttpClient::CallId call = 0;
@@ -79,8 +90,10 @@
     const InstanceEntry* chooseMember(Pool&, Millis now);
     std::vector<const InstanceEntry*> availableMembers(const Pool&, Millis now) const;
     void startWaiting(Pool&);
+    void endOverdueTurns();
     void sendToUpstream(Pool&, JobId, const InstanceEntry&);
-    void onOutcome(const std::string& poolName, JobId, HttpOutcome);
+    JobId enqueueJob(const UpstreamName&, Job);
+    void onReply(const std::string& poolName, JobId, Reply);
     void finish(Pool&, JobId, Reply);
     static std::string nameOf(const Pool&);
 
@@ -88,6 +101,7 @@
     std::map<std::string, Pool> m_pools; // by nameOf()
     std::unordered_map<JobId, std::string> m_poolNames; // of each job's pool
     JobId m_nextJob = 1;
+    Millis m_nextTurnCheckAt {};
 };
 
 } // namespace pistachiospur
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -36,10 +36,8 @@
 constexpr Millis kMinRetryAfter { 100 };
 // Deadline of a request whose caller states none.
 constexpr Millis kDefaultDeadline { 10000 };
-// Requests with larger bodies use the links for bodies.
-constexpr std::size_t kMaxControlBodyBytes = 4096;
-// A body that flows is sent in frames of this size, so that those of several requests alternate.
-constexpr std::size_t kBodyFrameBytes = 16u << 10;
+// Requests with larger bodies are not forwarded: this host sends them to the upstream itself, when it is their turn.
+constexpr std::size_t kMaxForwardedBodyBytes = 4096;
 
 std::uint64_t relayId(std::uint64_t request, unsigned attempt)
 {
@@ -265,14 +263,16 @@
                                      .value_or(m_context.settings.host);
     pending.coordinator = coordinator;
     if (!isSelf(m_context, coordinator)) {
-        Relay relay { relayId(id, attemptNumber), upstream, pending.request, pending.rest != nullptr,
-            pending.bodyBytes };
+        Relay relay { relayId(id, attemptNumber), upstream, pending.request, false };
         relay.request.deadline -= monotonicNow();
-        const Lane lane = pending.request.body.size() > kMaxControlBodyBytes ? Lane::bulk : Lane::control;
-        const auto link = m_context.hub.send(coordinator, relay, lane);
+        relay.turnOnly = pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes;
+        if (relay.turnOnly)
+            relay.request.body = {};
+        const auto link = m_context.hub.send(coordinator, relay);
         if (!link)
             return onReply(id, attemptNumber, notRun(RefusalReason::hostUnreachable));
         pending.link = *link;
+        pending.state = relay.turnOnly ? State::waitingForTurn : State::forwarded;
         return;
     }
     const auto job = m_dispatcher.submit(
@@ -282,46 +282,48 @@
             const Millis wait = m_dispatcher.expectedWait(service, upstream, order);
             onReply(id, attemptNumber, std::move(reply), wait);
         },
-        { pending.rest, pending.bodyBytes, nullptr });
+        { pending.rest, pending.bodyBytes });
     const auto found = m_pending.find(id);
     if (found != m_pending.end() && found->second->attempt == attemptNumber)
         found->second->job = job;
 }
 
-void GatewayFrontend::onBodyCredit(const RelayBodyCredit& credit)
+// Sends a request in its turn. A turn that comes too late, or for an upstream that gets no new work any more, is given
+// back unused.
+void GatewayFrontend::onTurn(const HostName& from, const RelayTurn& turn)
 {
-    const RequestId id = credit.id >> kAttemptBits;
+    const RequestId id = turn.id >> kAttemptBits;
     const auto it = m_pending.find(id);
-    if (it == m_pending.end() || !it->second->rest || credit.id != relayId(id, it->second->attempt))
+    const bool wanted = it != m_pending.end() && it->second->state == State::waitingForTurn
+        && turn.id == relayId(id, it->second->attempt);
+    if (!wanted) {
+        m_context.hub.send(from, RelayTurnOver { turn.id, notRun(RefusalReason::deadlinePassed) });
         return;
-    it->second->bodyCredit += credit.bytes;
-    it->second->rest->onData([this, id] { sendBody(id); });
-    sendBody(id);
+    }
+    PendingRequest& pending = *it->second;
+    const unsigned attempt = pending.attempt;
+    const InstanceEntry* upstream = m_context.directory.findInstance(turn.instance);
+    if (!upstream || !mayTakeWork(*upstream, monotonicNow())) {
+        const Reply refused = notRun(RefusalReason::noOwner);
+        m_context.hub.send(from, RelayTurnOver { turn.id, refused });
+        return onReply(id, attempt, refused);
+    }
+    pending.state = State::sending;
+    pending.link = kNoLink; // from here on the request does not depend on the coordinator
+    pending.call = sendRequest(m_context, upstream->instance, pending.request, { pending.rest, pending.bodyBytes },
+        [this, id, attempt, turn, from](Reply reply) {
+            endTurn(from, turn.id, reply);
+            onReply(id, attempt, std::move(reply), turn.wait);
+        });
 }
 
-// Sends what has arrived of a body, as far as the coordinator has given credit. Reading from the pipe lets more arrive,
-// which calls this function again; the outer call sends that too.
-void GatewayFrontend::sendBody(RequestId id)
+// Tells the coordinator how the request ended, without headers and body.
+void GatewayFrontend::endTurn(const HostName& coordinator, std::uint64_t relay, const Reply& reply)
 {
-    const auto it = m_pending.find(id);
-    if (it == m_pending.end() || it->second->link == kNoLink || it->second->sendingBody)
-        return;
-    PendingRequest& pending = *it->second;
-    const std::shared_ptr<BodyPipe> rest = pending.rest;
-    const std::uint64_t relay = relayId(id, pending.attempt);
-    pending.sendingBody = true;
-    while (pending.bodyCredit > 0) {
-        std::string data = rest->read(std::min<std::uint64_t>(pending.bodyCredit, kBodyFrameBytes));
-        if (data.empty())
-            break;
-        pending.bodyCredit -= data.size();
-        m_context.hub.sendVia(pending.link, RelayBody { relay, std::move(data), RelayBody::End::none });
-    }
-    pending.sendingBody = false;
-    const bool broken = rest->state() == BodyPipe::State::broken;
-    if ((broken || rest->isAtEnd()) && !std::exchange(pending.bodyEndSent, true))
-        m_context.hub.sendVia(
-            pending.link, RelayBody { relay, {}, broken ? RelayBody::End::broken : RelayBody::End::complete });
+    RelayTurnOver over { relay, reply };
+    if (const auto* answer = std::get_if<Answer>(&reply))
+        over.reply = Answer { answer->status, {}, {} };
+    m_context.hub.send(coordinator, over);
 }
 
 void GatewayFrontend::onRelayReply(const HostName& from, RelayReply reply)
@@ -338,7 +340,9 @@
     m_context.unreachableUntil[lost.host] = monotonicNow() + kHostAvoidTime;
     std::vector<std::tuple<RequestId, unsigned, LinkLoss>> affected;
     for (const auto& [id, pending] : m_pending) {
-        const LinkLoss loss = lossOf(lost, pending->link);
+        LinkLoss loss = lossOf(lost, pending->link);
+        if (loss == LinkLoss::sent && pending->state == State::waitingForTurn)
+            loss = LinkLoss::notSent;
         if (loss != LinkLoss::unaffected)
             affected.emplace_back(id, pending->attempt & kAttemptMask, loss);
     }
@@ -362,7 +366,6 @@
     pending.link = kNoLink;
     pending.job = 0;
     pending.coordinator.clear();
-    pending.bodyCredit = 0;
     recordGroupLoad(pending, reply, wait);
     const auto* refusal = std::get_if<Refusal>(&reply);
     if (!refusal)
@@ -458,14 +461,23 @@
     }
 }
 
+// Ends a request without an answer. Its run at an upstream ends too if it may be repeated, or if its body has not arrived
+// completely; otherwise it runs on, because it may have an effect.
 void GatewayFrontend::onDeadline(RequestId id)
 {
     PendingRequest& pending = *m_pending.at(id);
-    const bool mayHaveRun = pending.state == State::forwarded || pending.possibleRuns > 0;
+    const bool isOut = pending.state == State::forwarded || pending.state == State::sending;
     const LinkId link = pending.link;
     const auto job = pending.job;
     const std::uint64_t relay = relayId(id, pending.attempt);
-    complete(id, mayHaveRun ? maybeRun(RefusalReason::upstreamTimeout) : notRun(RefusalReason::deadlinePassed));
+    const Reply reply = isOut || pending.possibleRuns > 0 ? maybeRun(RefusalReason::upstreamTimeout)
+                                                          : notRun(RefusalReason::deadlinePassed);
+    const bool bodyArriving = pending.rest && !pending.rest->isAtEnd();
+    if (pending.state == State::sending && (pending.request.idempotent || bodyArriving)) {
+        m_context.http.cancel(pending.call);
+        endTurn(pending.coordinator, relay, reply);
+    }
+    complete(id, reply);
     if (link != kNoLink)
         m_context.hub.sendVia(link, RelayCancel { relay });
     if (job)
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -24,8 +24,8 @@
     // Refuses a request with a body before the body is read, if its head shows that it cannot be served.
     std::optional<HttpResponse> checkHead(const HttpRequest&, std::optional<std::uint64_t> bodyBytes);
     void onRelayReply(const HostName& from, RelayReply);
-    // The host that coordinates a request can take more of its body.
-    void onBodyCredit(const RelayBodyCredit&);
+    // A request that this host sends to the upstream itself has a slot there.
+    void onTurn(const HostName& from, const RelayTurn&);
     void onLinkLost(const LostLink&);
     // Starts a new attempt for each request that waits for its range. Called after a change of upstreams or ranges.
     void refresh();
@@ -40,6 +40,8 @@
         waitingForRange, // the owner does not have the request's range yet
         delayed, // until the next attempt
         forwarded, // to the coordinator or to this host's dispatcher
+        waitingForTurn, // the coordinator says when this host may send the request
+        sending, // to the upstream, in its turn
     };
 
     struct PendingRequest {
@@ -62,9 +64,7 @@
         std::set<unsigned> refusedGroups;
         std::shared_ptr<BodyPipe> rest; // of a body that flows; null if the request has its whole body
         std::optional<std::uint64_t> bodyBytes; // size of a body that flows, if the caller declared it
-        std::uint64_t bodyCredit = 0; // bytes that the coordinator can take
-        bool sendingBody = false;
-        bool bodyEndSent = false;
+        HttpClient::CallId call = 0; // while sending
         std::shared_ptr<void> bodyCharge;
         Dispatcher::JobId job = 0; // of this host's dispatcher; 0 if none
         std::unique_ptr<Timer> deadlineTimer;
@@ -79,7 +79,7 @@
     void forward(RequestId, const UpstreamName&, const DataCentreName& preferredDataCentre);
     unsigned chooseGroupFor(const PendingRequest&);
     void recordGroupLoad(PendingRequest&, const Reply&, Millis wait);
-    void sendBody(RequestId);
+    void endTurn(const HostName& coordinator, std::uint64_t relay, const Reply&);
     void waitForRange(RequestId, Millis readyIn);
     void onReply(RequestId, unsigned attempt, Reply, Millis wait = Millis(0));
     bool approveRetry(PendingRequest&, const Refusal&);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,7 @@
 constexpr Millis kBusyTickInterval { 25 };
 constexpr Millis kIdleTickInterval { 100 };
 constexpr Millis kLoadReportInterval { 500 };
+constexpr Millis kTrafficLogInterval { 10000 };
 constexpr Millis kStopCheckInterval { 50 };
 // The load balancer sends connections to a stopping host until two readiness checks, one second apart, have failed.
 constexpr Millis kBalancerNoticeTime { 2600 };
@@ -64,6 +65,7 @@
           [this](const HttpRequest& request, const Responder& responder) { responder.respond(answerAdmin(request)); })
     , m_tickTimer([this] { tick(); })
     , m_loadReportTimer([this] { sendLoadReports(); })
+    , m_trafficTimer([this] { logTraffic(); })
     , m_stopTimer([this] { checkStopped(); })
     , m_terminate(SIGTERM, [this] { beginStop(); })
     , m_interrupt(SIGINT, [this] { beginStop(); })
@@ -91,12 +93,17 @@
 {
     const auto& settings = m_context.settings;
     setEventHost(settings.host);
+    setCallbackErrorHandler([this](const char* what) {
+        m_context.metrics.count("pistachiospur_callback_errors_total");
+        logEvent(EventKind::state, "callback_failed", { { "error", what } });
+    });
     logEvent(EventKind::state, "start",
         { { "callers", settings.callers.text() }, { "peers", settings.peers.text() },
             { "store", settings.store.text() }, { "incarnation", m_context.incarnation.value } });
     m_context.directory.start([this] { onDirectoryChange(); });
     m_tickTimer.once(kBusyTickInterval);
     m_loadReportTimer.every(kLoadReportInterval);
+    m_trafficTimer.every(kTrafficLogInterval);
 }
 
 int Gateway::run()
@@ -157,8 +164,8 @@
             [&](Relay& received) { onRelay(from, link, std::move(received)); },
             [&](RelayReply& received) { m_frontend.onRelayReply(from, std::move(received)); },
             [&](const RelayCancel& received) { onRelayCancel({ from, received.id }); },
-            [&](const RelayBody& received) { onRelayBody(from, received); },
-            [&](const RelayBodyCredit& received) { m_frontend.onBodyCredit(received); },
+            [&](const RelayTurn& received) { m_frontend.onTurn(from, received); },
+            [&](RelayTurnOver& received) { onTurnOver({ from, received.id }, std::move(received.reply)); },
             [&](const LoadReport& report) {
                 const auto leader = m_leaders.find(report.service);
                 if (leader != m_leaders.end())
@@ -198,66 +205,46 @@
         return;
     }
     relayed.bodyCharge = charge;
-    FlowingBody rest;
-    if (relay.flows) {
-        relayed.rest = rest.pipe = std::make_shared<BodyPipe>();
-        rest.totalBytes = relay.bodyBytes;
-        rest.onStart = [this, key] {
-            m_context.hub.send(key.first, RelayBodyCredit { key.second, kBodyWindowBytes });
-        };
-        rest.pipe->onRead([this, key](std::size_t bytes) { onRelayedBodyRead(key, bytes); });
-    }
     const auto waitAfter = [this, service = relay.request.service, upstream = relay.upstream,
                                order = relay.request.order] { return m_dispatcher.expectedWait(service, upstream, order); };
-    relayed.job = m_dispatcher.submit(
-        relay.upstream, std::move(relay.request),
-        [this, key, waitAfter](Reply reply) {
-            m_relayedRequests.erase(key);
-            const auto* answer = std::get_if<Answer>(&reply);
-            const Lane lane = answer && answer->body.size() > kMaxControlBodyBytes ? Lane::bulk : Lane::control;
-            m_context.hub.send(key.first, RelayReply { key.second, std::move(reply), waitAfter() }, lane);
-        },
-        std::move(rest));
-    if (relayed.job)
-        m_relayedRequests[key] = std::move(relayed);
-}
-
-void Gateway::onRelayBody(const HostName& from, const RelayBody& body)
-{
-    const auto found = m_relayedRequests.find({ from, body.id });
-    if (found == m_relayedRequests.end() || !found->second.rest)
-        return;
-    const std::shared_ptr<BodyPipe> rest = found->second.rest; // a write can end the request
-    rest->write(body.data);
-    if (body.end == RelayBody::End::complete)
-        rest->finish();
-    else if (body.end == RelayBody::End::broken)
-        rest->breakOff();
+    const auto onReply = [this, key, waitAfter](Reply reply) {
+        // The end of a turn is known to the host that had it.
+        const auto found = m_relayedRequests.find(key);
+        const bool hadTurn = found != m_relayedRequests.end() && found->second.hadTurn;
+        m_relayedRequests.erase(key);
+        if (hadTurn)
+            return;
+        const auto* answer = std::get_if<Answer>(&reply);
+        const Lane lane = answer && answer->body.size() > kMaxControlBodyBytes ? Lane::bulk : Lane::control;
+        m_context.hub.send(key.first, RelayReply { key.second, std::move(reply), waitAfter() }, lane);
+    };
+    // The entry exists before the request is queued, because the turn may come at once.
+    m_relayedRequests[key] = std::move(relayed);
+    const auto job = relay.turnOnly
+        ? m_dispatcher.submitForTurn(relay.upstream, std::move(relay.request), onReply,
+              [this, key, waitAfter](const InstanceId& instance) {
+                  m_relayedRequests.at(key).hadTurn = true;
+                  m_context.hub.send(key.first, RelayTurn { key.second, instance, waitAfter() });
+              })
+        : m_dispatcher.submit(relay.upstream, std::move(relay.request), onReply);
+    const auto found = m_relayedRequests.find(key);
+    if (found != m_relayedRequests.end())
+        found->second.job = job;
 }
 
-// Gives credit for what was sent on to the upstream, in parts that keep the link busy.
-void Gateway::onRelayedBodyRead(const RelayKey& key, std::size_t bytes)
+// Ends a request that its sender has given up. One that must not be aborted, because it may have an effect, runs on.
+void Gateway::onRelayCancel(const RelayKey& key)
 {
     const auto found = m_relayedRequests.find(key);
-    if (found == m_relayedRequests.end())
-        return;
-    std::uint64_t& read = found->second.readBytes;
-    read += bytes;
-    if (read >= kBodyWindowBytes / 4)
-        m_context.hub.send(key.first, RelayBodyCredit { key.second, std::exchange(read, 0) });
+    if (found != m_relayedRequests.end())
+        m_dispatcher.cancel(found->second.job);
 }
 
-// Ends a request that its sender has given up. One that must not be aborted, because it may have an effect, runs on;
-// but without its whole body it cannot come to an end.
-void Gateway::onRelayCancel(const RelayKey& key)
+void Gateway::onTurnOver(const RelayKey& key, Reply reply)
 {
     const auto found = m_relayedRequests.find(key);
-    if (found == m_relayedRequests.end())
-        return;
-    const auto job = found->second.job;
-    if (const auto rest = found->second.rest; rest && rest->state() == BodyPipe::State::open)
-        rest->breakOff();
-    m_dispatcher.cancel(job);
+    if (found != m_relayedRequests.end() && found->second.hadTurn)
+        m_dispatcher.endTurn(found->second.job, std::move(reply));
 }
 
 // Cancels the requests that arrived over a lost link, because the peer has given them up.
@@ -269,8 +256,10 @@
         if (lossOf(lost, relayed.link) != LinkLoss::unaffected)
             orphans.push_back(key);
     }
-    for (const auto& key : orphans)
+    for (const auto& key : orphans) {
+        onTurnOver(key, maybeRun(RefusalReason::hostLost));
         onRelayCancel(key);
+    }
 }
 
 // Applies a leader's update to the known range table and to the pending ranges. If the update's base is not the known
@@ -312,6 +301,22 @@
     }
 }
 
+// Logs what this host has sent to the store and to other hosts since its start, by kind.
+void Gateway::logTraffic()
+{
+    Json messages = Json::object(), calls = Json::object();
+    for (std::size_t kind = 0; kind < m_context.hub.sent().size(); ++kind) {
+        const auto& sent = m_context.hub.sent()[kind];
+        if (sent.messages > 0)
+            messages[messageKind(kind)] = { sent.messages, sent.bytes };
+    }
+    for (const auto& [kind, n] : m_context.directory.store().callCounts())
+        calls[kind] = n;
+    logEvent(EventKind::state, "traffic",
+        { { "store_calls", calls }, { "messages_and_bytes", messages }, { "links", m_context.hub.linkCount() },
+            { "callers", m_callerServer.connectionCount() } });
+}
+
 HttpResponse Gateway::statusReport() const
 {
     Json hosts = Json::array(), upstreams = Json::array(), leaders = Json::object();
@@ -349,6 +354,8 @@
     m_context.metrics.set("pistachiospur_store_revision", {}, static_cast<double>(directory.revision().value));
     m_context.metrics.set("pistachiospur_hosts_alive", {}, static_cast<double>(directory.hosts().size()));
     publishTraffic(m_context.metrics, m_context.hub);
+    for (const auto& [kind, n] : m_context.directory.store().callCounts())
+        m_context.metrics.raise("pistachiospur_store_calls_total", { { "kind", kind } }, static_cast<double>(n));
     m_context.metrics.set("pistachiospur_body_bytes", {}, static_cast<double>(m_context.bodyBudget->used()));
     m_context.metrics.set("pistachiospur_configuration_faults", {},
         directory.routes() ? static_cast<double>(directory.routes()->faults.size()) : 0);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,21 +28,20 @@
     struct RelayedRequest {
         Dispatcher::JobId job = 0;
         LinkId link = 0; // that it arrived on
-        std::shared_ptr<BodyPipe> rest; // of a body that flows; null if the request came with its whole body
-        std::uint64_t readBytes = 0; // of the body since the last credit
+        bool hadTurn = false; // its sender sends it to the upstream itself, and was told to
         std::shared_ptr<void> bodyCharge;
     };
     using RelayKey = std::pair<HostName, std::uint64_t>; // sender and relay id
 
     void onMessage(const HostName& from, LinkId, Message);
     void onRelay(const HostName& from, LinkId, Relay);
-    void onRelayBody(const HostName& from, const RelayBody&);
     void onRelayCancel(const RelayKey&);
-    void onRelayedBodyRead(const RelayKey&, std::size_t bytes);
+    void onTurnOver(const RelayKey&, Reply);
     void onLinkLost(const LostLink&);
     void onRangeUpdate(RangeUpdate);
     void onDirectoryChange();
     void sendLoadReports();
+    void logTraffic();
     void tick();
     bool isBusy() const;
     HttpResponse answerAdmin(const HttpRequest&);
@@ -62,6 +61,7 @@
     HttpServer m_adminServer;
     Timer m_tickTimer;
     Timer m_loadReportTimer;
+    Timer m_trafficTimer;
     Timer m_stopTimer;
     Millis m_stopRequestedAt {};
     bool m_leaseEnding = false;
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -12,6 +12,9 @@
 
 // A head that is larger than this, interim responses included, is no answer of an upstream.
 constexpr std::size_t kMaxAnswerHeadBytes = 128u << 10;
+// Connections that are kept for later calls. libcurl's default follows the number of concurrent calls, which closes a
+// range leader's connections between two renewals.
+constexpr long kMaxIdleConnections = 1000;
 
 } // namespace
 
@@ -27,6 +30,7 @@
     std::uint64_t bodyBytes = 0; // of the request's body; UINT64_MAX if it is not known
     std::size_t bodySent = 0; // bytes of call.body that libcurl has taken
     bool tooLarge = false;
+    bool headComplete = false; // the empty line after the headers has arrived
     bool paused = false; // libcurl waits for more of the body
 
     ~Transfer()
@@ -103,6 +107,14 @@
             transfer.tooLarge = true;
             return 0;
         }
+        if (line.compare(0, 5, "HTTP/") == 0) {
+            transfer.headComplete = false; // interim responses have heads of their own
+            transfer.answer.headers.clear();
+            return size * count;
+        }
+        if (transfer.headComplete) // a trailer
+            return size * count;
+        transfer.headComplete = line == "\r\n" || line == "\n";
         const auto colon = line.find(':');
         if (colon == std::string::npos)
             return size * count;
@@ -153,6 +165,7 @@
     , m_maxTotalBytes(maxTotalBytes)
     , m_timer([this] { onSocketEvents(CURL_SOCKET_TIMEOUT, 0); })
 {
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, Internals::onSocket);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, Internals::onTimer);
@@ -341,6 +354,11 @@
         transfer->callback(HttpFailure { HttpFault::tooLarge });
         return;
     }
+    // libcurl takes a connection that closes within the head for the end of an answer without a body.
+    if (!transfer->headComplete) {
+        transfer->callback(HttpFailure { HttpFault::broken });
+        return;
+    }
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     transfer->answer.status = static_cast<int>(status);
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -200,7 +200,12 @@
         return;
     m_activeAt = monotonicNow();
     m_handlingInput = true;
-    m_pipeline.receive({ buf.data(), static_cast<std::size_t>(n) }, m_activeAt);
+    try {
+        m_pipeline.receive({ buf.data(), static_cast<std::size_t>(n) }, m_activeAt);
+    } catch (...) {
+        close(); // the state of the request is unknown
+        throw;
+    }
     m_handlingInput = false;
 }
 
--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -2,12 +2,34 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <ctime>
+#include <exception>
+#include <utility>
 
 namespace pistachiospur {
 
 namespace {
 
+std::function<void(const char*)>& callbackErrorHandler()
+{
+    static std::function<void(const char*)> handler;
+    return handler;
+}
+
+// Calls a callback from libev, whose C code no exception may pass through.
+template <typename Callback> void callGuarded(const Callback& callback)
+{
+    try {
+        callback();
+    } catch (const std::exception& error) {
+        if (callbackErrorHandler())
+            callbackErrorHandler()(error.what());
+        else
+            std::fprintf(stderr, "exception in a callback: %s\n", error.what());
+    }
+}
+
 double seconds(Millis duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 } // namespace
@@ -42,8 +64,9 @@
 Timer::Timer(std::function<void()> callback)
     : m_callback(std::move(callback))
 {
-    ev_init(
-        &m_watcher, [](struct ev_loop*, ev_timer* watcher, int) { static_cast<Timer*>(watcher->data)->m_callback(); });
+    ev_init(&m_watcher, [](struct ev_loop*, ev_timer* watcher, int) {
+        callGuarded([&] { static_cast<Timer*>(watcher->data)->m_callback(); });
+    });
     m_watcher.data = this;
 }
 
@@ -71,7 +94,7 @@
     : m_callback(std::move(callback))
 {
     ev_init(&m_watcher, [](struct ev_loop*, ev_io* watcher, int events) {
-        static_cast<SocketWatcher*>(watcher->data)->m_callback(events);
+        callGuarded([&] { static_cast<SocketWatcher*>(watcher->data)->m_callback(events); });
     });
     m_watcher.data = this;
 }
@@ -92,7 +115,9 @@
 {
     ev_signal_init(
         &m_watcher,
-        [](struct ev_loop*, ev_signal* watcher, int) { static_cast<SignalWatcher*>(watcher->data)->m_callback(); },
+        [](struct ev_loop*, ev_signal* watcher, int) {
+            callGuarded([&] { static_cast<SignalWatcher*>(watcher->data)->m_callback(); });
+        },
         signal);
     m_watcher.data = this;
     ev_signal_start(defaultLoop(), &m_watcher);
@@ -100,6 +125,8 @@
 
 SignalWatcher::~SignalWatcher() { ev_signal_stop(defaultLoop(), &m_watcher); }
 
+void setCallbackErrorHandler(std::function<void(const char*)> handler) { callbackErrorHandler() = std::move(handler); }
+
 void runLoop() { ev_run(defaultLoop(), 0); }
 
 void breakLoop() { ev_break(defaultLoop(), EVBREAK_ALL); }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -35,6 +35,7 @@
         { "pistachiospur_configuration_faults", "gauge",
             "parts of the configuration in force that this version cannot read" },
         { "pistachiospur_body_bytes", "gauge", "memory that bodies in transit use on this host" },
+        { "pistachiospur_callback_errors_total", "counter", "unexpected errors, each of which ended one callback" },
         { "pistachiospur_quarantined", "gauge", "requests that are quarantined" },
         { "pistachiospur_peer_links", "gauge", "open links to other hosts" },
         { "pistachiospur_hosts_alive", "gauge", "hosts that this host considers alive, including itself" },
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -212,7 +212,7 @@
             m_incoming[{ link.peer, link.isBulk ? Lane::bulk : Lane::control }] = &link;
         }
     }
-    if (std::holds_alternative<RelayReply>(*message)) {
+    if (std::holds_alternative<RelayReply>(*message) || std::holds_alternative<RelayTurn>(*message)) {
         const auto due = m_repliesDue.find(link.peer);
         if (due != m_repliesDue.end() && --due->second == 0)
             m_repliesDue.erase(due);
--- a/src/peers/link.cpp
+++ b/src/peers/link.cpp
@@ -252,7 +252,13 @@
             releaseHeld();
         std::size_t consumed = 0;
         while (consumed < static_cast<std::size_t>(n) && !m_closed) {
-            const auto count = m_connection->read_some(buf.data() + consumed, static_cast<std::size_t>(n) - consumed);
+            std::size_t count = 0;
+            try {
+                count = m_connection->read_some(buf.data() + consumed, static_cast<std::size_t>(n) - consumed);
+            } catch (...) {
+                close(); // the rest of the bytes cannot be understood
+                throw;
+            }
             if (count == 0)
                 break;
             consumed += count;
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -1,7 +1,6 @@
 #include "codec.h"
 
 #include <array>
-#include <stdexcept>
 
 namespace pistachiospur {
 
@@ -90,23 +89,7 @@
 PISTACHIOSPUR_WIRE(ReleaseQuery, std::tie(it.upstream))
 PISTACHIOSPUR_WIRE(RenewerStatus, std::tie(it.applied, it.coordinating, it.settled, it.remaining))
 PISTACHIOSPUR_WIRE(ReleaseReport, std::tie(it.upstream, it.status))
-PISTACHIOSPUR_WIRE(Relay, std::tie(it.id, it.upstream, it.request, it.flows, it.bodyBytes))
-
-static void to_json(Json& j, const RelayBody& it)
-{
-    j = pack(it.id, it.end);
-    j.push_back(toBinary(it.data));
-}
-
-static void from_json(const Json& j, RelayBody& it)
-{
-    unpack(j, it.id, it.end);
-    it.data = fromBinary(j.at(2));
-    if (it.end > RelayBody::End::broken)
-        throw std::out_of_range("unknown end of a body");
-}
-
-PISTACHIOSPUR_WIRE(RelayBodyCredit, std::tie(it.id, it.bytes))
+PISTACHIOSPUR_WIRE(Relay, std::tie(it.id, it.upstream, it.request, it.turnOnly))
 PISTACHIOSPUR_WIRE(RelayReply, std::tie(it.id, it.reply, it.wait))
 PISTACHIOSPUR_WIRE(RelayCancel, std::tie(it.id))
 PISTACHIOSPUR_WIRE(Endpoint, std::tie(it.address, it.port))
@@ -114,6 +97,8 @@
 PISTACHIOSPUR_WIRE(HostListChange, std::tie(it.addedOrChanged, it.removed))
 PISTACHIOSPUR_WIRE(HostListUpdate, std::tie(it.change))
 PISTACHIOSPUR_WIRE(InstanceId, std::tie(it.name, it.startTime))
+PISTACHIOSPUR_WIRE(RelayTurn, std::tie(it.id, it.instance, it.wait))
+PISTACHIOSPUR_WIRE(RelayTurnOver, std::tie(it.id, it.reply))
 PISTACHIOSPUR_WIRE(LoadReport::Run, std::tie(it.instance, it.runMs))
 PISTACHIOSPUR_WIRE(LoadReport, std::tie(it.service, it.counts, it.runs))
 PISTACHIOSPUR_WIRE(RangeUpdate::Pending, std::tie(it.first, it.last, it.readyIn))
@@ -146,8 +131,8 @@
     static constexpr std::array<const char*, std::variant_size_v<Message>> kNames = { "hello", "heartbeat",
         "replica_request", "replica_batch", "replica_snapshot", "upstream_report", "stop_renewing", "renewal_stopped",
         "release_query", "release_report", "relay", "relay_reply", "relay_cancel", "host_list_update", "load_report",
-        "range_update", "host_leaving", "leader_announcement", "leader_stepped_down", "watch_update", "relay_body",
-        "relay_body_credit" };
+        "range_update", "host_leaving", "leader_announcement", "leader_stepped_down", "watch_update", "relay_turn",
+        "relay_turn_over" };
     return kNames.at(index);
 }
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -84,33 +84,28 @@
     std::uint64_t id = 0; // chosen by the sender
     UpstreamName upstream;
     Request request; // its deadline is the time left, counted from receipt
-    bool flows = false; // the request has the first part of its body; RelayBody brings the others
-    std::optional<std::uint64_t> bodyBytes {}; // size of a body that flows, if the caller declared it
+    // The sender keeps the body, which is large, and sends the request to the upstream itself when it is its turn. A body
+    // then leaves the first host once, and only towards the upstream.
+    bool turnOnly = false;
 };
 
-// The next part of the body of a relayed request. The sender sends as many bytes as the receiver has given credit for.
-struct RelayBody {
-    enum class End : std::uint8_t {
-        none, // more follows
-        complete,
-        broken, // the caller has broken off
-    };
+struct RelayReply {
     std::uint64_t id = 0;
-    std::string data;
-    End end = End::none;
+    Reply reply;
+    Millis wait {}; // that the sender expects for the next request like this one
 };
 
-// Allows the sender of a relayed request to send more bytes of its body. The first credit is given when the request is
-// sent to an upstream; until then nothing of the flowing part has left the first host.
-struct RelayBodyCredit {
+// The reply to a relay with `turnOnly`: the request has a slot of this upstream, and its sender may send it there now.
+struct RelayTurn {
     std::uint64_t id = 0;
-    std::uint64_t bytes = 0;
+    InstanceId instance;
+    Millis wait {}; // that the sender expects for the next request like this one
 };
 
-struct RelayReply {
+// The request that had the turn has ended, or was not sent. Frees the upstream's slot.
+struct RelayTurnOver {
     std::uint64_t id = 0;
-    Reply reply;
-    Millis wait {}; // that the sender expects for the next request like this one
+    Reply reply; // an answer without headers and body, or the refusal
 };
 
 // Cancels a relayed request, because the caller has disconnected or the deadline has passed.
@@ -185,8 +180,8 @@
 
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
     StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListUpdate,
-    LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate, RelayBody,
-    RelayBodyCredit>;
+    LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate, RelayTurn,
+    RelayTurnOver>;
 
 // The name of a kind of message, by its index in Message, for metrics.
 const char* messageKind(std::size_t index);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -77,8 +77,12 @@
 
 // A store that supports leases. Keys written under a lease are deleted when it ends, as when their writer's process
 // dies.
+// Calls made to a store so far, by kind.
+using CallCounts = std::map<std::string, std::uint64_t>;
+
 class LeasedStore : public Store {
 public:
+    virtual const CallCounts& callCounts() const = 0;
     virtual void openLease(Millis ttl, std::function<void(LeaseOpenResult)>) = 0;
     virtual void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) = 0;
     virtual void revokeLease(LeaseId, std::function<void()> onEnd) = 0;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -56,6 +56,7 @@
     std::vector<std::unique_ptr<RangeUpstream>> upstreams;
     std::vector<std::unique_ptr<Gateway>> gateways;
     std::vector<Endpoint> callerEndpoints;
+    std::vector<Endpoint> adminEndpoints;
     HttpClient client { 1u << 20 };
 
     explicit Fixture(int hosts = 2)
@@ -92,6 +93,7 @@
         gateways.push_back(std::make_unique<Gateway>(settings, "", platform::kvPlatformAdapter()));
         gateways.back()->start();
         callerEndpoints.push_back(settings.callers);
+        adminEndpoints.push_back(settings.admin);
     }
 
     // Runs the event loop until the condition holds or the time-out has passed; returns whether it holds.
@@ -250,6 +252,60 @@
     BOOST_TEST(site.runCount("large") == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(uploadsDoNotPassThroughTheHostThatCoordinatesTheUpstream)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed(0));
+    BOOST_REQUIRE(site.waitUntilServed(1));
+    for (std::size_t host = 0; host < 2; ++host) {
+        HttpCall call = site.call("/up/x", "up" + std::to_string(host), host);
+        call.body = std::string(200000, 'x');
+        BOOST_TEST(site.sendCall(std::move(call)).status == 200);
+    }
+    bool hadTurn = false;
+    for (const auto& admin : site.adminEndpoints) {
+        HttpCall call;
+        call.method = "GET";
+        call.endpoint = admin;
+        call.target = "/metrics";
+        const std::string text = site.sendCall(std::move(call)).body;
+        hadTurn |= text.find("pistachiospur_peer_messages_total{kind=\"relay_turn\"}") != std::string::npos;
+        const auto relayed = text.find("pistachiospur_peer_bytes_total{kind=\"relay\"} ");
+        if (relayed != std::string::npos)
+            BOOST_TEST(std::stod(text.substr(text.find(' ', relayed))) < 100000);
+    }
+    BOOST_TEST(hadTurn); // one of the two hosts does not coordinate the upstream
+}
+
+BOOST_AUTO_TEST_CASE(uploadThatWaitsForItsTurnIsServedWhenItsCoordinatorIsLost)
+{
+    for (std::size_t lost = 0; lost < 2; ++lost) {
+        Fixture site;
+        const std::size_t host = 1 - lost;
+        BOOST_REQUIRE(site.waitUntilServed(0));
+        BOOST_REQUIRE(site.waitUntilServed(1));
+        site.upstreams.back()->runTime = Millis(600);
+        // Both slots are taken, so that the third request waits.
+        std::map<std::string, int> statuses;
+        for (const std::string id : { "a", "b", "c" }) {
+            HttpCall call = site.call("/up/x", id, host);
+            call.body = std::string(60000, 'x');
+            site.client.start(std::move(call), [&statuses, id](HttpOutcome outcome) {
+                const auto* answer = std::get_if<HttpAnswer>(&outcome);
+                statuses[id] = answer ? answer->status : 0;
+            });
+            if (id != "c")
+                BOOST_REQUIRE(site.runLoopUntil([&] { return site.runCount(id) == 1; }));
+        }
+        site.runLoopUntil([] { return false; }, Millis(50));
+        site.gateways[lost].reset();
+        BOOST_TEST(site.runLoopUntil([&] { return statuses.size() == 3; }));
+        BOOST_TEST(statuses["c"] == 200);
+        for (const std::string id : { "a", "b", "c" })
+            BOOST_TEST(site.runCount(id) == 1u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(uploadWhoseCallerStallsOrGoesReachesNoUpstream)
 {
     Fixture site;
