--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -201,20 +201,16 @@
 {
     const Millis now = monotonicNow();
     context.groups.clear();
-    std::map<std::pair<ServiceName, DataCentreName>, std::vector<const UpstreamInstance*>> instancesByPlace;
+    std::map<ServiceName, std::vector<const UpstreamInstance*>> instancesByService;
     for (const auto& [name, entry] : context.directory.instances()) {
         if (mayTakeWork(entry, now))
-            instancesByPlace[{ entry.instance.service, entry.instance.dataCentre }].push_back(&entry.instance);
+            instancesByService[entry.instance.service].push_back(&entry.instance);
     }
-    for (const auto& [place, instances] : instancesByPlace) {
-        PoolGroups& groups = context.groups[place.first];
-        const auto groupCount
-            = std::max<std::size_t>(1, (instances.size() + kUpstreamsPerGroup / 2) / kUpstreamsPerGroup);
-        const std::size_t first = groups.size();
-        groups.resize(first + groupCount);
+    for (const auto& [service, instances] : instancesByService) {
+        PoolGroups& groups = context.groups[service];
+        groups.resize(std::max<std::size_t>(1, (instances.size() + kUpstreamsPerGroup / 2) / kUpstreamsPerGroup));
         for (std::size_t n = 0; n < instances.size(); ++n) {
-            PoolGroup& group = groups[first + n % groupCount];
-            group.dataCentre = place.second;
+            PoolGroup& group = groups[n % groups.size()];
             group.members.push_back(instances[n]->id.name);
             group.slots += instances[n]->slots;
         }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -20,9 +20,8 @@
     Millis updatedAt {}; // monotonic clock; `readyIn` of the ranges counts from here
 };
 
-// A group of a pooled service's upstreams, all in one data centre. One host coordinates it and keeps one queue for it.
+// A group of a pooled service's upstreams, of all data centres. One host coordinates it and keeps one queue for it.
 struct PoolGroup {
-    DataCentreName dataCentre;
     std::vector<UpstreamName> members;
     unsigned slots = 0; // requests that its members can run concurrently
 };
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -19,14 +19,6 @@
 constexpr Millis kAvoidTime { 300 };
 // Weight of the newest sample in the EWMA of an upstream's run time.
 constexpr double kRunTimeWeight = 0.15;
-// Run time assumed for an upstream without a sample.
-constexpr double kInitialRunMs = 150;
-// An upstream's cost is its mean run time, increased by this fraction for each request that it runs.
-constexpr double kCostPerRunning = 0.3;
-// Factor on the cost of an upstream in another data centre.
-constexpr double kRemoteCostFactor = 1.1;
-// Added to the cost of an avoided upstream, so that it ranks behind all others.
-constexpr double kAvoidedCostMs = 10000;
 // A host reports the end of a turn at the request's deadline at the latest; a lost report is noticed this much later.
 constexpr Millis kTurnMargin { 500 };
 constexpr Millis kTurnCheckInterval { 500 };
@@ -123,22 +115,24 @@
 }
 
 Dispatcher::JobId Dispatcher::submit(
-    const UpstreamName& upstreamOrGroup, Request request, Callback callback, FlowingBody rest)
+    const UpstreamName& upstreamOrGroup, Request request, Callback callback, FlowingBody rest, RequestOrigin origin)
 {
     Job job;
     job.request = std::move(request);
     job.callback = std::move(callback);
     job.rest = std::move(rest);
+    job.origin = std::move(origin);
     return enqueueJob(upstreamOrGroup, std::move(job));
 }
 
-Dispatcher::JobId Dispatcher::submitForTurn(
-    const UpstreamName& upstreamOrGroup, Request request, Callback callback, TurnCallback onTurn)
+Dispatcher::JobId Dispatcher::submitForTurn(const UpstreamName& upstreamOrGroup, Request request, Callback callback,
+    TurnCallback onTurn, RequestOrigin origin)
 {
     Job job;
     job.request = std::move(request);
     job.callback = std::move(callback);
     job.onTurn = std::move(onTurn);
+    job.origin = std::move(origin);
     return enqueueJob(upstreamOrGroup, std::move(job));
 }
 
@@ -166,8 +160,8 @@
     return m_poolNames.count(id) ? id : 0;
 }
 
-// The available instance with a free slot and the lowest cost, or null. Instances of this host's data centre cost less.
-const InstanceEntry* Dispatcher::chooseMember(Pool& pool, Millis now)
+// The available instance with a free slot and the lowest cost for a request, or null.
+const InstanceEntry* Dispatcher::chooseMember(Pool& pool, const RequestOrigin& origin, Millis now)
 {
     const InstanceEntry* best = nullptr;
     double minCost = 0;
@@ -176,11 +170,9 @@
         const Member& member = pool.members[entry.instance.id];
         if (member.running >= entry.instance.slots)
             continue;
-        double cost = (member.runMs > 0 ? member.runMs : kInitialRunMs) * (1 + kCostPerRunning * member.running);
-        if (entry.instance.dataCentre != m_context.settings.dataCentre)
-            cost *= kRemoteCostFactor;
-        if (now < member.avoidedUntil)
-            cost += kAvoidedCostMs;
+        const bool isNear = entry.instance.dataCentre == origin.dataCentre;
+        const double cost
+            = upstreamCost({ member.runMs, member.running, isNear, now < member.avoidedUntil }, origin.hasLargeBody);
         if (!best || cost < minCost) {
             best = &entry;
             minCost = cost;
@@ -191,15 +183,14 @@
 
 void Dispatcher::startWaiting(Pool& pool)
 {
-    for (;;) {
+    while (waitingCount(pool.queue) > 0) {
         const Millis now = monotonicNow();
-        const InstanceEntry* member = chooseMember(pool, now);
-        if (!member)
+        if (!chooseMember(pool, {}, now))
             return;
         const auto next = startNext(pool.queue, pool.policy, now);
         if (!next)
             return;
-        sendToUpstream(pool, next->id, *member);
+        sendToUpstream(pool, next->id, *chooseMember(pool, pool.jobs.at(next->id).origin, now));
     }
 }
 
@@ -318,7 +309,7 @@
         return Millis(0);
     const Pool& pool = found->second;
     const auto lane = pool.queue.lanes.find(order);
-    const double runMs = lane == pool.queue.lanes.end() ? kInitialRunMs : lane->second.meanServiceMs;
+    const double runMs = lane == pool.queue.lanes.end() ? 0 : lane->second.meanServiceMs;
     // With every slot taken, even the first in the queue waits for one to become free.
     return pistachiospur::expectedWait(pool.queue, pool.policy, order)
         + Millis(static_cast<std::int64_t>(runMs / pool.policy.maxConcurrent));
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "requests/queue.h"
+#include "requests/spread.h"
 
 #include <functional>
 #include <map>
@@ -17,6 +18,12 @@
     std::optional<std::uint64_t> totalBytes; // of the whole body; nothing if the caller did not declare it
 };
 
+// Where a request's body and answer pass.
+struct RequestOrigin {
+    DataCentreName dataCentre; // of the host that sends the request to the upstream
+    bool hasLargeBody = false;
+};
+
 // Sends a request to an upstream and interprets its answer. The callback runs later, exactly once, unless the call is
 // cancelled first.
 HttpClient::CallId sendRequest(
@@ -32,10 +39,10 @@
 
     // Queues a request for an upstream or for a group of its pooled service, and sends it at most once. The callback
     // runs exactly once, possibly before this function returns; the result is 0 if the request has finished by then.
-    JobId submit(const UpstreamName&, Request, Callback, FlowingBody = {});
+    JobId submit(const UpstreamName&, Request, Callback, FlowingBody, RequestOrigin);
     // Queues a request that its first host sends itself. `onTurn` runs when the request has a slot of an upstream, which
     // it keeps until endTurn(), or until its deadline. The callback runs instead if the request is refused before.
-    JobId submitForTurn(const UpstreamName&, Request, Callback, TurnCallback);
+    JobId submitForTurn(const UpstreamName&, Request, Callback, TurnCallback, RequestOrigin);
     // Frees the slot of a request that had its turn.
     void endTurn(JobId, Reply);
     // Drops a waiting request. A running request is aborted only if it is idempotent.
@@ -61,6 +68,7 @@
         Request request;
         Callback callback;
         FlowingBody rest;
+        RequestOrigin origin;
         TurnCallback onTurn; // empty if this host sends the request
         InstanceId instance; // runs the request; set once `running`
         Millis startedAt {};
@@ -87,7 +95,7 @@
     void refreshPolicy(Pool&);
     void refreshSlots(Pool&);
     void refuseMoved(Pool&);
-    const InstanceEntry* chooseMember(Pool&, Millis now);
+    const InstanceEntry* chooseMember(Pool&, const RequestOrigin&, Millis now);
     std::vector<const InstanceEntry*> availableMembers(const Pool&, Millis now) const;
     void startWaiting(Pool&);
     void endOverdueTurns();
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -36,7 +36,8 @@
 constexpr Millis kMinRetryAfter { 100 };
 // Deadline of a request whose caller states none.
 constexpr Millis kDefaultDeadline { 10000 };
-// Requests with larger bodies are not forwarded: this host sends them to the upstream itself, when it is their turn.
+// Requests with larger bodies, and those to pooled services, are not forwarded: this host sends them to the upstream itself
+// when it is their turn.
 constexpr std::size_t kMaxForwardedBodyBytes = 4096;
 
 std::uint64_t relayId(std::uint64_t request, unsigned attempt)
@@ -190,9 +191,7 @@
     const unsigned attemptNumber = ++pending.attempt;
     if (!isKeyed(request.service)) {
         pending.group = chooseGroupFor(pending);
-        const auto groups = m_context.groups.find(request.service);
-        const bool known = groups != m_context.groups.end() && *pending.group < groups->second.size();
-        return forward(id, groupName(*pending.group), known ? groups->second[*pending.group].dataCentre : "");
+        return forward(id, groupName(*pending.group), "");
     }
     const StoredTable* stored = m_context.directory.tableOf(request.service);
     const Range* range = stored ? findRange(stored->table, request.slot) : nullptr;
@@ -218,12 +217,11 @@
     const Millis now = monotonicNow();
     std::vector<GroupTarget> targets;
     for (unsigned n = 0; n < loads.size(); ++n) {
-        const PoolGroup& group = groups->second[n];
-        targets.push_back({ group.slots, group.dataCentre == m_context.settings.dataCentre,
-            pending.refusedGroups.count(n) > 0, waitNow(loads[n], now) });
+        targets.push_back(
+            { groups->second[n].slots, pending.refusedGroups.count(n) > 0, waitNow(loads[n], now) });
     }
     std::uniform_real_distribution<double> draws(0, 1);
-    return static_cast<unsigned>(chooseGroup(targets, pending.request.targetLatency, draws(m_random)));
+    return static_cast<unsigned>(chooseGroup(targets, draws(m_random)));
 }
 
 // Notes how long the next request would wait at the group that replied.
@@ -263,9 +261,10 @@
                                      .value_or(m_context.settings.host);
     pending.coordinator = coordinator;
     if (!isSelf(m_context, coordinator)) {
-        Relay relay { relayId(id, attemptNumber), upstream, pending.request, false };
+        const bool hasLargeBody = pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes;
+        Relay relay { relayId(id, attemptNumber), upstream, pending.request, m_context.settings.dataCentre,
+            hasLargeBody || pending.group.has_value(), hasLargeBody };
         relay.request.deadline -= monotonicNow();
-        relay.turnOnly = pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes;
         if (relay.turnOnly)
             relay.request.body = {};
         const auto link = m_context.hub.send(coordinator, relay);
@@ -282,7 +281,8 @@
             const Millis wait = m_dispatcher.expectedWait(service, upstream, order);
             onReply(id, attemptNumber, std::move(reply), wait);
         },
-        { pending.rest, pending.bodyBytes });
+        { pending.rest, pending.bodyBytes },
+        { m_context.settings.dataCentre, pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes });
     const auto found = m_pending.find(id);
     if (found != m_pending.end() && found->second->attempt == attemptNumber)
         found->second->job = job;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -220,13 +220,16 @@
     };
     // The entry exists before the request is queued, because the turn may come at once.
     m_relayedRequests[key] = std::move(relayed);
+    const RequestOrigin origin { relay.turnOnly ? relay.origin : m_context.settings.dataCentre, relay.hasLargeBody };
     const auto job = relay.turnOnly
-        ? m_dispatcher.submitForTurn(relay.upstream, std::move(relay.request), onReply,
+        ? m_dispatcher.submitForTurn(
+              relay.upstream, std::move(relay.request), onReply,
               [this, key, waitAfter](const InstanceId& instance) {
                   m_relayedRequests.at(key).hadTurn = true;
                   m_context.hub.send(key.first, RelayTurn { key.second, instance, waitAfter() });
-              })
-        : m_dispatcher.submit(relay.upstream, std::move(relay.request), onReply);
+              },
+              origin)
+        : m_dispatcher.submit(relay.upstream, std::move(relay.request), onReply, {}, origin);
     const auto found = m_relayedRequests.find(key);
     if (found != m_relayedRequests.end())
         found->second.job = job;
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -84,9 +84,11 @@
     std::uint64_t id = 0; // chosen by the sender
     UpstreamName upstream;
     Request request; // its deadline is the time left, counted from receipt
-    // The sender keeps the body, which is large, and sends the request to the upstream itself when it is its turn. A body
-    // then leaves the first host once, and only towards the upstream.
+    DataCentreName origin {}; // the sender's data centre
+    // The sender keeps the body and sends the request to the upstream itself when it is its turn. Body and answer then
+    // cross from one data centre to another once at most.
     bool turnOnly = false;
+    bool hasLargeBody = false;
 };
 
 struct RelayReply {
--- a/src/requests/spread.cpp
+++ b/src/requests/spread.cpp
@@ -7,11 +7,17 @@
 
 namespace {
 
-double costOf(const GroupTarget& group, Millis targetLatency)
-{
-    const double far = group.isNear ? 0 : kFarWaitShare * static_cast<double>(targetLatency.count());
-    return group.waitMs + far + (group.isAvoided ? kRefusedWaitMs : 0);
-}
+// Run time assumed of an upstream without a sample.
+constexpr double kInitialRunMs = 150;
+// An upstream's cost is its mean run time, increased by this fraction for each request that it runs.
+constexpr double kCostPerRunning = 0.3;
+// Factors on the cost of an upstream in another data centre.
+constexpr double kRemoteCostFactor = 1.1;
+constexpr double kRemoteBodyCostFactor = 2.5;
+// Added to the cost of an avoided upstream, so that it ranks behind all others.
+constexpr double kAvoidedCostMs = 10000;
+
+double waitAt(const GroupTarget& group) { return group.waitMs + (group.isAvoided ? kRefusedWaitMs : 0); }
 
 } // namespace
 
@@ -21,15 +27,14 @@
     return load.waitMs * std::clamp(1 - age / static_cast<double>(kWaitReportLifetime.count()), 0.0, 1.0);
 }
 
-std::size_t chooseGroup(const std::vector<GroupTarget>& groups, Millis targetLatency, double draw)
+std::size_t chooseGroup(const std::vector<GroupTarget>& groups, double draw)
 {
     double lowest = std::numeric_limits<double>::infinity();
     for (const auto& it : groups) {
         if (it.slots > 0)
-            lowest = std::min(lowest, costOf(it, targetLatency));
+            lowest = std::min(lowest, waitAt(it));
     }
-    const auto isCandidate
-        = [&](const GroupTarget& it) { return it.slots > 0 && costOf(it, targetLatency) < lowest + kAlikeMs; };
+    const auto isCandidate = [&](const GroupTarget& it) { return it.slots > 0 && waitAt(it) < lowest + kAlikeMs; };
     double slots = 0;
     for (const auto& it : groups)
         slots += isCandidate(it) ? it.slots : 0;
@@ -46,4 +51,12 @@
     return last;
 }
 
+double upstreamCost(const UpstreamTarget& upstream, bool hasLargeBody)
+{
+    double cost = (upstream.runMs > 0 ? upstream.runMs : kInitialRunMs) * (1 + kCostPerRunning * upstream.running);
+    if (!upstream.isNear)
+        cost *= hasLargeBody ? kRemoteBodyCostFactor : kRemoteCostFactor;
+    return cost + (upstream.isAvoided ? kAvoidedCostMs : 0);
+}
+
 } // namespace pistachiospur
--- a/src/requests/spread.h
+++ b/src/requests/spread.h
@@ -4,8 +4,8 @@
 
 #include <vector>
 
-// Chooses where a request to a pooled service goes. Any upstream may run it, so the host weighs how long the request
-// would wait against sending it and its answer to another data centre.
+// Chooses where a request to a pooled service goes, since any upstream may run it: a host chooses a group of upstreams by
+// the wait there, and the group's coordinator chooses the upstream.
 namespace pistachiospur {
 
 // What a host knows of the load of one group of upstreams.
@@ -17,7 +17,6 @@
 // A group as a target of one request.
 struct GroupTarget {
     unsigned slots = 0; // requests that its upstreams can run concurrently
-    bool isNear = false; // in this host's data centre
     bool isAvoided = false; // an earlier attempt of the request was refused there
     double waitMs = 0; // expected wait now
 };
@@ -26,14 +25,24 @@
 constexpr Millis kWaitReportLifetime { 1000 };
 // Wait assumed of a group that refused a request or could not be reached.
 constexpr double kRefusedWaitMs = 1000;
-// A group in another data centre is chosen when that saves more than this part of the latency target.
-constexpr double kFarWaitShare = 0.2;
-// Groups whose costs differ by less are alike; each gets requests in proportion to its slots.
+// Groups whose waits differ by less are alike; each gets requests in proportion to its slots.
 constexpr double kAlikeMs = 10;
 
 // The wait that a report still stands for.
 double waitNow(const GroupLoad&, Millis now);
 // The index of the group to send a request to; 0 if there is none. `draw` is a random number from 0 to below 1.
-std::size_t chooseGroup(const std::vector<GroupTarget>&, Millis targetLatency, double draw);
+std::size_t chooseGroup(const std::vector<GroupTarget>&, double draw);
+
+// An upstream with a free slot, as a target of one request.
+struct UpstreamTarget {
+    double runMs = 0; // mean run time; 0 while unknown
+    unsigned running = 0; // requests
+    bool isNear = false; // in the data centre from which the request is sent
+    bool isAvoided = false; // it did not run a request lately
+};
+
+// The lower, the sooner the upstream is expected to answer. A request with a large body rather waits for a slower upstream
+// of its own data centre than crosses to another.
+double upstreamCost(const UpstreamTarget&, bool hasLargeBody);
 
 } // namespace pistachiospur
--- a/tests/decoders_test.cpp
+++ b/tests/decoders_test.cpp
@@ -63,7 +63,7 @@
     request.headers = { { "a", "b" } };
     request.body = "body";
     const RangeTable table { "h#1/2", Millis(2500), { { "g#1/1", Millis(5) } }, { { { 0 }, { 65535 }, { "u", { 1 } }, { 7 }, {} } } };
-    const std::vector<Message> messages = { Hello { "h", { 3 }, true }, Relay { 1, "u", request, true },
+    const std::vector<Message> messages = { Hello { "h", { 3 }, true }, Relay { 1, "u", request, "z", true, true },
         RelayReply { 1, Answer { 200, { { "a", "b" } }, "body" }, Millis(3) },
         RelayReply { 1, notRun(RefusalReason::queueFull), Millis(3) }, RelayTurn { 4, { "u", { 1 } }, Millis(1) },
         RelayTurnOver { 4, maybeRun(RefusalReason::upstreamBroken) },
