--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -197,24 +197,45 @@
     return group < groups.size() ? &groups[group].members : nullptr;
 }
 
+namespace {
+
+// Divides upstreams into groups of about kUpstreamsPerGroup.
+void addGroups(
+    PoolGroups& groups, const DataCentreName& dataCentre, const std::vector<const UpstreamInstance*>& instances)
+{
+    const std::size_t first = groups.size();
+    const std::size_t count = std::max<std::size_t>(1, (instances.size() + kUpstreamsPerGroup / 2) / kUpstreamsPerGroup);
+    groups.resize(first + count);
+    for (std::size_t n = 0; n < instances.size(); ++n) {
+        PoolGroup& group = groups[first + n % count];
+        group.dataCentre = dataCentre;
+        group.members.push_back(instances[n]->id.name);
+        group.slots += instances[n]->slots;
+    }
+}
+
+} // namespace
+
 void regroupPools(GatewayContext& context)
 {
     const Millis now = monotonicNow();
     context.groups.clear();
-    std::map<ServiceName, std::vector<const UpstreamInstance*>> instancesByService;
+    using Place = std::pair<ServiceName, DataCentreName>;
+    std::map<Place, std::vector<const UpstreamInstance*>> instancesByPlace, remaining;
     for (const auto& [name, entry] : context.directory.instances()) {
         if (mayTakeWork(entry, now))
-            instancesByService[entry.instance.service].push_back(&entry.instance);
+            instancesByPlace[{ entry.instance.service, entry.instance.dataCentre }].push_back(&entry.instance);
     }
-    for (const auto& [service, instances] : instancesByService) {
-        PoolGroups& groups = context.groups[service];
-        groups.resize(std::max<std::size_t>(1, (instances.size() + kUpstreamsPerGroup / 2) / kUpstreamsPerGroup));
-        for (std::size_t n = 0; n < instances.size(); ++n) {
-            PoolGroup& group = groups[n % groups.size()];
-            group.members.push_back(instances[n]->id.name);
-            group.slots += instances[n]->slots;
+    for (auto& [place, instances] : instancesByPlace) {
+        if (instances.size() >= kUpstreamsPerGroup) {
+            addGroups(context.groups[place.first], place.second, instances);
+            continue;
         }
+        auto& rest = remaining[{ place.first, "" }];
+        rest.insert(rest.end(), instances.begin(), instances.end());
     }
+    for (const auto& [place, instances] : remaining)
+        addGroups(context.groups[place.first], "", instances);
 }
 
 std::size_t hostCount(const GatewayContext& context)
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -191,7 +191,9 @@
     const unsigned attemptNumber = ++pending.attempt;
     if (!isKeyed(request.service)) {
         pending.group = chooseGroupFor(pending);
-        return forward(id, groupName(*pending.group), "");
+        const auto groups = m_context.groups.find(request.service);
+        const bool known = groups != m_context.groups.end() && *pending.group < groups->second.size();
+        return forward(id, groupName(*pending.group), known ? groups->second[*pending.group].dataCentre : "");
     }
     const StoredTable* stored = m_context.directory.tableOf(request.service);
     const Range* range = stored ? findRange(stored->table, request.slot) : nullptr;
@@ -217,11 +219,12 @@
     const Millis now = monotonicNow();
     std::vector<GroupTarget> targets;
     for (unsigned n = 0; n < loads.size(); ++n) {
-        targets.push_back(
-            { groups->second[n].slots, pending.refusedGroups.count(n) > 0, waitNow(loads[n], now) });
+        const PoolGroup& group = groups->second[n];
+        const bool isFar = !group.dataCentre.empty() && group.dataCentre != m_context.settings.dataCentre;
+        targets.push_back({ group.slots, isFar, pending.refusedGroups.count(n) > 0, waitNow(loads[n], now) });
     }
     std::uniform_real_distribution<double> draws(0, 1);
-    return static_cast<unsigned>(chooseGroup(targets, draws(m_random)));
+    return static_cast<unsigned>(chooseGroup(targets, pending.request.targetLatency, draws(m_random)));
 }
 
 // Notes how long the next request would wait at the group that replied.
--- a/src/requests/spread.cpp
+++ b/src/requests/spread.cpp
@@ -17,7 +17,11 @@
 // Added to the cost of an avoided upstream, so that it ranks behind all others.
 constexpr double kAvoidedCostMs = 10000;
 
-double waitAt(const GroupTarget& group) { return group.waitMs + (group.isAvoided ? kRefusedWaitMs : 0); }
+double costOf(const GroupTarget& group, Millis targetLatency)
+{
+    const double far = group.isFar ? kFarWaitShare * static_cast<double>(targetLatency.count()) : 0;
+    return group.waitMs + far + (group.isAvoided ? kRefusedWaitMs : 0);
+}
 
 } // namespace
 
@@ -27,14 +31,15 @@
     return load.waitMs * std::clamp(1 - age / static_cast<double>(kWaitReportLifetime.count()), 0.0, 1.0);
 }
 
-std::size_t chooseGroup(const std::vector<GroupTarget>& groups, double draw)
+std::size_t chooseGroup(const std::vector<GroupTarget>& groups, Millis targetLatency, double draw)
 {
     double lowest = std::numeric_limits<double>::infinity();
     for (const auto& it : groups) {
         if (it.slots > 0)
-            lowest = std::min(lowest, waitAt(it));
+            lowest = std::min(lowest, costOf(it, targetLatency));
     }
-    const auto isCandidate = [&](const GroupTarget& it) { return it.slots > 0 && waitAt(it) < lowest + kAlikeMs; };
+    const auto isCandidate
+        = [&](const GroupTarget& it) { return it.slots > 0 && costOf(it, targetLatency) < lowest + kAlikeMs; };
     double slots = 0;
     for (const auto& it : groups)
         slots += isCandidate(it) ? it.slots : 0;
--- a/src/requests/spread.h
+++ b/src/requests/spread.h
@@ -17,6 +17,7 @@
 // A group as a target of one request.
 struct GroupTarget {
     unsigned slots = 0; // requests that its upstreams can run concurrently
+    bool isFar = false; // all its upstreams are in another data centre
     bool isAvoided = false; // an earlier attempt of the request was refused there
     double waitMs = 0; // expected wait now
 };
@@ -25,13 +26,15 @@
 constexpr Millis kWaitReportLifetime { 1000 };
 // Wait assumed of a group that refused a request or could not be reached.
 constexpr double kRefusedWaitMs = 1000;
+// A group in another data centre is chosen when that saves more than this part of the latency target.
+constexpr double kFarWaitShare = 0.2;
 // Groups whose waits differ by less are alike; each gets requests in proportion to its slots.
 constexpr double kAlikeMs = 10;
 
 // The wait that a report still stands for.
 double waitNow(const GroupLoad&, Millis now);
 // The index of the group to send a request to; 0 if there is none. `draw` is a random number from 0 to below 1.
-std::size_t chooseGroup(const std::vector<GroupTarget>&, double draw);
+std::size_t chooseGroup(const std::vector<GroupTarget>&, Millis targetLatency, double draw);
 
 // An upstream with a free slot, as a target of one request.
 struct UpstreamTarget {
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -8,20 +8,39 @@
 
 using namespace pistachiospur;
 
+namespace {
+
+constexpr Millis kTarget { 800 };
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(Spread)
 
 BOOST_AUTO_TEST_CASE(requestGoesToTheGroupWithTheShorterWait)
 {
-    std::vector<GroupTarget> groups = { { 3, false, 300 }, { 30, false, 0 } };
-    BOOST_TEST(chooseGroup(groups, 0) == 1u);
+    std::vector<GroupTarget> groups = { { 3, false, false, 300 }, { 30, false, false, 0 } };
+    BOOST_TEST(chooseGroup(groups, kTarget, 0) == 1u);
     groups[1].waitMs = 400;
-    BOOST_TEST(chooseGroup(groups, 0.99) == 0u);
+    BOOST_TEST(chooseGroup(groups, kTarget, 0.99) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(requestStaysInItsDataCentreUntilThatCostsTheCallerTime)
+{
+    std::vector<GroupTarget> groups = { { 3, false, false, 0 }, { 30, true, false, 0 } };
+    BOOST_TEST(chooseGroup(groups, kTarget, 0.99) == 0u);
+    groups[0].waitMs = 100;
+    BOOST_TEST(chooseGroup(groups, kTarget, 0.99) == 0u);
+    groups[0].waitMs = 300;
+    BOOST_TEST(chooseGroup(groups, kTarget, 0.01) == 1u);
+    // The other data centre is fuller still.
+    groups[1].waitMs = 300;
+    BOOST_TEST(chooseGroup(groups, kTarget, 0.99) == 0u);
 }
 
 BOOST_AUTO_TEST_CASE(requestThatWasRefusedGoesElsewhere)
 {
-    const std::vector<GroupTarget> groups = { { 3, true, 0 }, { 3, false, 0 } };
-    BOOST_TEST(chooseGroup(groups, 0) == 1u);
+    const std::vector<GroupTarget> groups = { { 3, false, true, 0 }, { 3, true, false, 0 } };
+    BOOST_TEST(chooseGroup(groups, kTarget, 0) == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(largeBodyStaysInItsDataCentreUnlessThatIsMuchSlower)
@@ -39,12 +58,12 @@
 
 BOOST_AUTO_TEST_CASE(groupsThatAreAlikeGetRequestsInProportionToTheirSlots)
 {
-    const std::vector<GroupTarget> groups = { { 10, false, 0 }, { 0, false, 0 }, { 30, false, 5 } };
+    const std::vector<GroupTarget> groups = { { 10, false, false, 0 }, { 0, false, false, 0 }, { 30, false, false, 5 } };
     std::mt19937_64 random(7);
     std::uniform_real_distribution<double> draws(0, 1);
     std::vector<int> counts(3);
     for (int n = 0; n < 4000; ++n)
-        ++counts[chooseGroup(groups, draws(random))];
+        ++counts[chooseGroup(groups, kTarget, draws(random))];
     BOOST_TEST(counts[1] == 0);
     BOOST_TEST(std::abs(counts[0] - 1000) < 120);
 }
@@ -62,10 +81,10 @@
 {
     std::vector<GroupTarget> groups;
     for (int n = *rc::gen::inRange(1, 9); n > 0; --n)
-        groups.push_back({ *rc::gen::inRange(0u, 5u), *rc::gen::arbitrary<bool>(),
+        groups.push_back({ *rc::gen::inRange(0u, 5u), *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>(),
             static_cast<double>(*rc::gen::inRange(0, 2000)) });
     const bool any = std::any_of(groups.begin(), groups.end(), [](const auto& it) { return it.slots > 0; });
-    const auto chosen = chooseGroup(groups, *rc::gen::inRange(0, 1000) / 1000.0);
+    const auto chosen = chooseGroup(groups, kTarget, *rc::gen::inRange(0, 1000) / 1000.0);
     RC_ASSERT(chosen < groups.size());
     RC_ASSERT(!any || groups[chosen].slots > 0);
 }
