--- a/src/io/body.h
+++ b/src/io/body.h
@@ -47,8 +47,7 @@
     std::size_t m_bytes = 0;
 };
 
-// Bytes that a pipe holds before its writer should stop. Two connections and a link at 10 Mbit/s with a delay of some
-// milliseconds need less to be kept busy.
+// Bytes that a pipe holds before its writer should stop.
 constexpr std::size_t kBodyWindowBytes = 128u << 10;
 
 // The part of a body that has arrived and has not been sent on. One side writes, the other reads; each is told by a
