Directory: a read that was overtaken by changes brings nothing back

Callers: requests went to an upstream that had drained and was deleted, as long as it still answered (DRAIN); by the same way a host or a range leader that was gone could come back.

Cause: a deletion erased the key's known version. A host that follows another's watch and misses a batch reads the whole store; batches that arrived meanwhile deleted the upstream; then the read, of an earlier revision, put it back, and the host's revision was past the deletion, so nothing took it away again. Class: an older read applied over newer changes.

Evidence: lateReadDoesNotBringBackADeletedUpstream failed on the code before (upstream in use at revision 120, read of revision 100).

Fix: src/store/versions merges reads, batches and single records. A put up to the revision to which the copy is complete, and that the copy does not have, has been undone. A read older than that changes nothing. A batch made from a read applies only to the revision that it starts from. Range tables are kept apart by their own revisions, because relays leave them out.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -5,6 +5,8 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace pistachiospur {
 
 namespace leaf = boost::leaf;
@@ -58,7 +60,7 @@
     , m_store(adapter.openStore(http, settings.store, Millis(settings.limits.storeTimeoutMs)))
     , m_incarnation(incarnation)
     , m_readRetryTimer([this] {
-        if (m_watching || m_revision.value == 0)
+        if (m_watching || m_known.completeTo.value == 0)
             readAll();
     })
     , m_firstWatchTimer([this] {
@@ -89,8 +91,7 @@
     m_store->read("", [this](ReadResult result) { onReadResult(std::move(result)); });
 }
 
-// Applies a read of the whole store. A known key that is missing from the snapshot was deleted while this host did not
-// watch.
+// Applies a read of the whole store, unless relayed changes have overtaken it.
 void Directory::onReadResult(ReadResult result)
 {
     m_reading = false;
@@ -101,26 +102,18 @@
         return;
     }
     auto& snapshot = std::get<Snapshot>(result);
-    std::vector<KeyChange> changes;
-    for (const auto& [key, version] : m_keyVersions) {
-        if (!snapshot.values.count(key) && version < snapshot.revision)
-            changes.push_back({ key, std::nullopt, snapshot.revision });
-    }
-    // Values that this host already has are skipped, because a host that takes over the watch sends all of `changes` to
-    // the other hosts.
-    for (auto& [key, value] : snapshot.values) {
-        const auto known = m_keyVersions.find(key);
-        if (known == m_keyVersions.end() || known->second < value.version)
-            changes.push_back({ key, std::move(value.text), value.version });
-    }
-    for (const auto& change : changes)
+    if (snapshot.revision < m_known.completeTo)
+        logEvent(EventKind::state, "read_outdated",
+            { { "revision", snapshot.revision.value }, { "known", m_known.completeTo.value } });
+    takeTables(snapshot);
+    SnapshotMerge merge = mergeSnapshot(m_known, std::move(snapshot));
+    for (const auto& change : merge.changes)
         apply(change);
-    const StoreRevision before = std::exchange(m_revision, std::max(m_revision, snapshot.revision));
     onStoreAnswer();
     if (m_watching) {
         m_watchAnsweredAt = monotonicNow();
         if (m_onWatchedChanges)
-            m_onWatchedChanges({ before, m_revision, std::move(changes) });
+            m_onWatchedChanges(merge.relay);
         if (std::exchange(m_firstWatchScheduled, true))
             startWatch();
         else
@@ -135,12 +128,12 @@
 void Directory::startWatch()
 {
     m_store->watch(
-        m_revision, [this](const ChangeBatch& batch) { onWatchBatch(batch); },
+        m_known.completeTo, [this](const ChangeBatch& batch) { onWatchBatch(batch); },
         [this](const StoreError& error) {
             if (!m_watching)
                 return;
             if (error.historyLost) {
-                logEvent(EventKind::state, "store_history_lost", { { "after", m_revision.value } });
+                logEvent(EventKind::state, "store_history_lost", { { "after", m_known.completeTo.value } });
                 readAll();
                 return;
             }
@@ -165,23 +158,48 @@
 {
     if (m_watching)
         return;
-    if (m_revision < batch.from)
+    if (hasGap(m_known, batch))
         return readAll();
-    if (batch.to < m_revision || (batch.to == m_revision && batch.changes.empty()))
-        return;
-    for (const auto& it : batch.changes)
+    applyBatch(batch);
+}
+
+// Range tables are not merged with the other keys, because relayed batches leave them out. The newest revision counts.
+void Directory::takeTables(Snapshot& snapshot)
+{
+    for (auto it = snapshot.values.begin(); it != snapshot.values.end();) {
+        if (!isTableKey(it->first)) {
+            ++it;
+            continue;
+        }
+        applyTable({ it->first, std::move(it->second.text), it->second.version });
+        it = snapshot.values.erase(it);
+    }
+}
+
+void Directory::applyBatch(ChangeBatch batch)
+{
+    const bool isEmpty = batch.changes.empty();
+    const auto firstTable = std::stable_partition(
+        batch.changes.begin(), batch.changes.end(), [](const KeyChange& it) { return !isTableKey(it.key); });
+    for (auto it = firstTable; it != batch.changes.end(); ++it)
+        applyTable(*it);
+    batch.changes.erase(firstTable, batch.changes.end());
+    for (const auto& it : mergeBatch(m_known, std::move(batch)))
         apply(it);
-    m_revision = batch.to;
-    m_onChange();
+    if (!isEmpty)
+        m_onChange();
 }
 
 void Directory::readTable(const ServiceName& service)
 {
-    m_store->read(tableKey(service), [this](ReadResult result) {
+    m_store->read(tableKey(service), [this, key = tableKey(service)](ReadResult result) {
         if (const auto* error = std::get_if<StoreError>(&result))
             return onStoreFailure("table", *error);
-        for (auto& [key, value] : std::get<Snapshot>(result).values)
-            apply({ key, std::move(value.text), value.version });
+        auto& values = std::get<Snapshot>(result).values;
+        const auto found = values.find(key);
+        if (found == values.end())
+            return;
+        applyTable({ key, std::move(found->second.text), found->second.version });
         m_onChange();
     });
 }
@@ -192,11 +210,7 @@
     m_watchAnsweredAt = monotonicNow();
     if (m_onWatchedChanges && !batch.changes.empty())
         m_onWatchedChanges(batch);
-    for (const auto& it : batch.changes)
-        apply(it);
-    m_revision = std::max(m_revision, batch.to);
-    if (!batch.changes.empty())
-        m_onChange();
+    applyBatch(batch);
 }
 
 void Directory::onStoreFailure(const char* call, const StoreError& error)
@@ -205,22 +219,18 @@
     if (std::exchange(m_storeReachable, false))
         logEvent(EventKind::state, "store_lost",
             { { "call", call }, { "status", error.httpStatus }, { "waited_ms", error.waited.count() },
-                { "revision", m_revision.value } });
+                { "revision", m_known.completeTo.value } });
 }
 
 void Directory::onStoreAnswer()
 {
     if (!std::exchange(m_storeReachable, true))
-        logEvent(EventKind::state, "store_reached", { { "revision", m_revision.value } });
+        logEvent(EventKind::state, "store_reached", { { "revision", m_known.completeTo.value } });
 }
 
-// Applies a change unless the key's known version is at least as new. A deletion at the known version is applied.
+// Applies a change that has been merged into the known versions.
 void Directory::apply(const KeyChange& change)
 {
-    auto& version = m_keyVersions[change.key];
-    if (change.version < version || (change.version == version && change.text))
-        return;
-    version = change.version;
     if (change.key == m_adapter.configurationKey && change.text)
         applyConfiguration(*change.text);
     else if (beginsWith(change.key, m_adapter.upstreamPrefix))
@@ -229,10 +239,6 @@
         applyHost(change.key.substr(kHostPrefix.size()), change);
     else if (beginsWith(change.key, kLeaderPrefix))
         applyLeader(change.key.substr(kLeaderPrefix.size()), change);
-    else if (beginsWith(change.key, kTablePrefix))
-        applyTable(change.key.substr(kTablePrefix.size()), change);
-    if (!change.text)
-        m_keyVersions.erase(change.key);
 }
 
 void Directory::applyConfiguration(const std::string& text)
@@ -357,26 +363,33 @@
             logEvent(EventKind::state, "leader_gone", { { "service", service } });
         return;
     }
-    recordLeader(service,
+    setLeader(service,
         { record.value("host", ""), { record.value("incarnation", std::uint64_t(0)) },
             { record.value("lease", std::uint64_t(0)) }, change.version });
 }
 
 void Directory::recordLeader(const ServiceName& service, LeaderEntry entry)
+{
+    if (mergeRecord(m_known, leaderKey(service), entry.version))
+        setLeader(service, std::move(entry));
+}
+
+void Directory::setLeader(const ServiceName& service, LeaderEntry entry)
 {
     auto& known = m_leaders[service];
-    if (entry.version <= known.version)
-        return;
     known = std::move(entry);
-    m_keyVersions[leaderKey(service)] = std::max(m_keyVersions[leaderKey(service)], known.version);
     logEvent(EventKind::state, "leader",
         { { "service", service }, { "keeper", known.host }, { "revision", known.version.value } });
 }
 
-void Directory::applyTable(const ServiceName& service, const KeyChange& change)
+void Directory::applyTable(const KeyChange& change)
 {
+    const ServiceName service = change.key.substr(kTablePrefix.size());
     if (!change.text) {
-        m_tables.erase(service);
+        const auto known = m_tables.find(service);
+        if (known != m_tables.end() && known->second.revision <= change.version)
+            m_tables.erase(known);
+        m_tableDeletions[service] = std::max(m_tableDeletions[service], change.version);
         return;
     }
     auto table = decodeRangeTable(*change.text, change.version);
@@ -389,6 +402,9 @@
 
 void Directory::recordTable(const ServiceName& service, StoredTable stored)
 {
+    const auto deleted = m_tableDeletions.find(service);
+    if (deleted != m_tableDeletions.end() && stored.revision <= deleted->second)
+        return;
     auto& known = m_tables[service];
     if (stored.revision <= known.revision)
         return;
@@ -494,7 +510,9 @@
         if (const auto* error = std::get_if<StoreError>(&result))
             return onStoreFailure("host entry", *error);
         if (const auto* written = std::get_if<Written>(&result)) {
-            apply({ key, text, written->revision });
+            if (!mergeRecord(m_known, key, written->revision))
+                return;
+            applyHost(m_settings.host, { key, text, written->revision });
             m_onChange();
         }
     });
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -3,6 +3,7 @@
 #include "adapter.h"
 #include "lease.h"
 #include "settings.h"
+#include "store/versions.h"
 
 #include <functional>
 #include <map>
@@ -108,20 +109,24 @@
     bool hasHostEntry() const { return m_hostEntryWritten; }
     void recordStoreFailure(const char* call, const StoreError& error) { onStoreFailure(call, error); }
     bool isStoreReachable() const { return m_storeReachable; }
-    StoreRevision revision() const { return m_revision; }
+    // Every change of the store up to this revision is in the copy.
+    StoreRevision revision() const { return m_known.completeTo; }
 
 private:
     void readAll();
     void onReadResult(ReadResult);
     void startWatch();
     void onWatchBatch(const ChangeBatch&);
+    void applyBatch(ChangeBatch);
+    void takeTables(Snapshot&);
     void apply(const KeyChange&);
     void applyConfiguration(const std::string& text);
     void logFaults(const std::vector<FieldError>&);
     void applyUpstream(const UpstreamName&, const KeyChange&);
     void applyHost(const HostName&, const KeyChange&);
     void applyLeader(const ServiceName&, const KeyChange&);
-    void applyTable(const ServiceName&, const KeyChange&);
+    void setLeader(const ServiceName&, LeaderEntry);
+    void applyTable(const KeyChange&);
     void onStoreFailure(const char* call, const StoreError&);
     void onStoreAnswer();
 
@@ -147,9 +152,9 @@
     Millis m_nextRemovalAt { 0 }; // monotonic clock: no instance or host is to be removed before
     std::map<ServiceName, LeaderEntry> m_leaders;
     std::map<ServiceName, StoredTable> m_tables;
-    std::map<std::string, StoreRevision> m_keyVersions; // by key; older changes are ignored
+    std::map<ServiceName, StoreRevision> m_tableDeletions; // older tables are outdated
+    KeyVersions m_known;
 
-    StoreRevision m_revision;
     bool m_storeReachable = false;
     Millis m_lastStoreFailureAt { -100000 }; // monotonic clock
     Timer m_readRetryTimer;
--- a/src/store/replica.h
+++ b/src/store/replica.h
@@ -29,6 +29,9 @@
     StoreRevision from;
     StoreRevision to;
     std::vector<KeyChange> changes;
+    // The batch compares a read at `to` with the state at `from`. It has no trace of a key that was put and deleted in
+    // between, so it must not be applied to a copy of a revision in between.
+    bool fromRead = false;
 };
 
 // All keys and values at one revision.
--- /dev/null
+++ b/tests/directory_test.cpp
@@ -0,0 +1,124 @@
+#include "gateway/directory.h"
+#include "io/http_client.h"
+#include "platform/adapter.h"
+
+#include <boost/leaf/result.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace pistachiospur;
+
+namespace {
+
+// A store whose reads the test answers when and as it likes.
+struct FakeStore : LeasedStore {
+    std::vector<std::function<void(ReadResult)>> reads;
+    OnBatch onBatch;
+    OnWatchEnd onWatchEnd;
+    CallCounts counts;
+
+    void read(const std::string&, std::function<void(ReadResult)> callback) override { reads.push_back(callback); }
+    void write(const ConditionalWrite&, std::function<void(WriteResult)>) override { }
+    void watch(StoreRevision, OnBatch batch, OnWatchEnd end) override
+    {
+        onBatch = std::move(batch);
+        onWatchEnd = std::move(end);
+    }
+    void stopWatch() override { onBatch = nullptr; }
+    bool isWatching() const override { return onBatch != nullptr; }
+    std::uint64_t calls() const override { return reads.size(); }
+    const CallCounts& callCounts() const override { return counts; }
+    void openLease(Millis, std::function<void(LeaseOpenResult)>) override { }
+    void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) override { }
+    void revokeLease(LeaseId, std::function<void()>) override { }
+
+    void answerLastRead(Snapshot snapshot)
+    {
+        const auto callback = reads.back();
+        callback(std::move(snapshot));
+    }
+};
+
+FakeStore* openedStore = nullptr;
+
+// Entries of upstreams hold their service's name, or "draining".
+PlatformAdapter fakeAdapter()
+{
+    PlatformAdapter adapter = platform::kvPlatformAdapter();
+    adapter.openStore = [](HttpClient&, const Endpoint&, Millis) -> std::unique_ptr<LeasedStore> {
+        auto store = std::make_unique<FakeStore>();
+        openedStore = store.get();
+        return store;
+    };
+    adapter.decodeUpstream
+        = [](const UpstreamName& name, const std::string& text) -> boost::leaf::result<UpstreamInstance> {
+        UpstreamInstance instance;
+        instance.id.name = name;
+        instance.service = "pool";
+        instance.draining = text == "draining";
+        return instance;
+    };
+    return adapter;
+}
+
+GatewaySettings settingsOf(const HostName& host)
+{
+    GatewaySettings settings;
+    settings.host = host;
+    for (const auto& it : gatewayOptions())
+        settings.limits.*it.field = it.defaultValue;
+    return settings;
+}
+
+struct Fixture {
+    GatewaySettings settings = settingsOf("h1");
+    PlatformAdapter adapter = fakeAdapter();
+    HttpClient http { 1u << 20 };
+    Directory directory { settings, adapter, http, Incarnation { 1 } };
+    FakeStore& store = *openedStore;
+    std::string upstreamKey = adapter.upstreamPrefix + "u1";
+
+    Fixture()
+    {
+        directory.start([] {});
+    }
+
+    Snapshot snapshot(std::uint64_t revision, std::map<std::string, StoredValue> values = {}) const
+    {
+        return { StoreRevision { revision }, std::move(values) };
+    }
+
+    // Applies one relayed change of a key; without text the key was deleted.
+    void relay(std::uint64_t from, std::uint64_t to, const std::string& key, std::optional<std::string> text)
+    {
+        directory.applyRelayedBatch(
+            { StoreRevision { from }, StoreRevision { to }, { { key, std::move(text), StoreRevision { to } } } });
+    }
+
+    bool isInUse(const UpstreamName& name) const
+    {
+        const auto it = directory.instances().find(name);
+        return it != directory.instances().end() && !it->second.noNewWorkFrom;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DirectoryOfTheStore)
+
+// Guards against requests to an upstream that has left: a read that was overtaken by relayed changes brought it back.
+BOOST_AUTO_TEST_CASE(lateReadDoesNotBringBackADeletedUpstream)
+{
+    Fixture host;
+    host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
+    BOOST_REQUIRE(host.isInUse("u1"));
+    host.directory.setWatching(false);
+    host.directory.applyRelayedBatch({ { 105 }, { 106 }, {} }); // a gap, so the whole store is read
+    BOOST_REQUIRE(host.store.reads.size() == 2u);
+    host.relay(100, 110, host.upstreamKey, "draining");
+    host.relay(110, 120, host.upstreamKey, std::nullopt);
+    host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
+    BOOST_TEST(!host.isInUse("u1"));
+    BOOST_TEST(host.directory.revision().value == 120u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
