Replica: a batch made from a read is not applied inside it

Callers on sites with our own protocol: a host could keep a record that had been deleted, such as an upstream or a placement.

A host that stands between the two revisions may know a key that was put and deleted in between; the batch doesn't name it.

--- a/src/store/replica.cpp
+++ b/src/store/replica.cpp
@@ -28,9 +28,10 @@
 {
     if (batch.to <= replica.revision)
         return BatchResult::alreadyApplied;
-    if (replica.revision.value == 0 || replica.revision < batch.from)
+    const bool isInsideRead = batch.fromRead && replica.revision != batch.from;
+    if (replica.revision.value == 0 || replica.revision < batch.from || isInsideRead)
         return BatchResult::gap;
-    ChangeBatch fresh { replica.revision, batch.to, {} };
+    ChangeBatch fresh { replica.revision, batch.to, {}, batch.fromRead };
     for (const auto& change : batch.changes) {
         if (change.version <= replica.revision)
             continue;
@@ -61,7 +62,7 @@
     replica.values = snapshot.values;
     replica.revision = snapshot.revision;
     if (!first)
-        addRecent(replica, { from, snapshot.revision, changes });
+        addRecent(replica, { from, snapshot.revision, changes, true });
     return changes;
 }
 
@@ -73,6 +74,11 @@
         return std::nullopt;
     ChangeBatch batch { since, replica.revision, {} };
     for (const auto& recent : replica.recent) {
+        if (recent.fromRead && since < recent.to) {
+            if (since > recent.from)
+                return std::nullopt;
+            batch.fromRead = true;
+        }
         for (const auto& change : recent.changes) {
             if (change.version > since)
                 batch.changes.push_back(change);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -78,6 +78,23 @@
     BOOST_CHECK(replica.revision == StoreRevision { 5 });
 }
 
+// Guards against a replica that keeps a deleted record: a batch made from a read does not name a key that was put and
+// deleted before the read.
+BOOST_AUTO_TEST_CASE(batchMadeFromAReadIsNotAppliedInsideIt)
+{
+    Replica sender, receiver;
+    applySnapshot(sender, { { 1 }, {} });
+    applySnapshot(receiver, { { 1 }, {} });
+    applyBatch(receiver, { { 1 }, { 3 }, { { "key", "text", { 3 } } } });
+    applySnapshot(sender, { { 9 }, {} }); // the key was deleted at 5
+    BOOST_TEST(!changesSince(sender, receiver.revision).has_value());
+    const auto fromStart = changesSince(sender, { 1 });
+    BOOST_REQUIRE(fromStart.has_value());
+    BOOST_CHECK(applyBatch(receiver, *fromStart) == BatchResult::gap);
+    applySnapshot(receiver, snapshotOf(sender));
+    BOOST_TEST(receiver.values.empty());
+}
+
 BOOST_AUTO_TEST_CASE(heartbeatTargetsDoNotGrowWithTheNumberOfHosts)
 {
     for (const int n : { 10, 1000, 11000 }) {
