Observability: by which copy of the store a host decides, and how old it is

The logs could not tell the hypotheses of docs/incidents/outdated-copies.md apart: they named neither the revision nor the age of the copy by which a request was routed, at either hop.

A request line names the configuration that routed it, no longer the one in force at its end.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -88,6 +88,7 @@
 {
     if (std::exchange(m_reading, true))
         return;
+    m_readStartedAt = monotonicNow();
     m_store->read("", [this](ReadResult result) { onReadResult(std::move(result)); });
 }
 
@@ -110,6 +111,7 @@
     for (const auto& change : merge.changes)
         apply(change);
     onStoreAnswer();
+    confirm(m_readStartedAt);
     if (m_watching) {
         m_watchAnsweredAt = monotonicNow();
         if (m_onWatchedChanges)
@@ -154,15 +156,22 @@
         readAll();
 }
 
-void Directory::applyRelayedBatch(const ChangeBatch& batch)
+void Directory::applyRelayedBatch(const ChangeBatch& batch, Millis age)
 {
     if (m_watching)
         return;
-    if (hasGap(m_known, batch))
+    if (hasGap(m_known, batch)) {
+        logEvent(EventKind::state, "changes_missed",
+            { { "revision", m_known.completeTo.value }, { "from", batch.from.value }, { "to", batch.to.value },
+                { "age_ms", this->age().count() } });
         return readAll();
+    }
+    confirm(monotonicNow() - age);
     applyBatch(batch);
 }
 
+void Directory::confirm(Millis at) { m_confirmedAt = std::max(m_confirmedAt, at); }
+
 // Range tables are not merged with the other keys, because relayed batches leave them out. The newest revision counts.
 void Directory::takeTables(Snapshot& snapshot)
 {
@@ -208,6 +217,7 @@
 {
     onStoreAnswer();
     m_watchAnsweredAt = monotonicNow();
+    confirm(m_store->watchConfirmedAt());
     if (m_onWatchedChanges && !batch.changes.empty())
         m_onWatchedChanges(batch);
     applyBatch(batch);
@@ -254,7 +264,8 @@
             }
             m_routes = std::move(table);
             logEvent(EventKind::state, "configuration",
-                { { "version", m_routes->version.value }, { "faults", m_routes->faults.size() } });
+                { { "version", m_routes->version.value }, { "faults", m_routes->faults.size() },
+                    { "age_ms", age().count() } });
             logFaults(m_routes->faults);
             return {};
         },
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -68,8 +68,8 @@
         m_onWatchedChanges = std::move(callback);
     }
     // Applies a batch from the host that watches the store. Reads the whole store if changes before the batch are
-    // missing.
-    void applyRelayedBatch(const ChangeBatch&);
+    // missing. `age` is the time since the sender's copy held every change of the store.
+    void applyRelayedBatch(const ChangeBatch&, Millis age);
     void readTable(const ServiceName&);
     // When the store last answered the watch, on the monotonic clock.
     Millis watchAnsweredAt() const { return m_watchAnsweredAt; }
@@ -109,12 +109,16 @@
     bool hasHostEntry() const { return m_hostEntryWritten; }
     void recordStoreFailure(const char* call, const StoreError& error) { onStoreFailure(call, error); }
     bool isStoreReachable() const { return m_storeReachable; }
+    // When this host's copy is last known to have held every change of the store, on the monotonic clock.
+    Millis confirmedAt() const { return m_confirmedAt; }
+    Millis age() const { return monotonicNow() - m_confirmedAt; }
     // Every change of the store up to this revision is in the copy.
     StoreRevision revision() const { return m_known.completeTo; }
 
 private:
     void readAll();
     void onReadResult(ReadResult);
+    void confirm(Millis at);
     void startWatch();
     void onWatchBatch(const ChangeBatch&);
     void applyBatch(ChangeBatch);
@@ -140,6 +144,9 @@
     std::function<void(const ChangeBatch&)> m_onWatchedChanges;
     bool m_watching = true; // this host watches the store itself
     bool m_reading = false; // a read of the whole store is under way
+    Millis m_readStartedAt {}; // monotonic clock
+    // The copy is known to have held every change of the store at this time, on the monotonic clock.
+    Millis m_confirmedAt { -100000 };
     Millis m_watchAnsweredAt { -100000 };
     Millis m_watchFailedAt { -100000 };
 
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -51,7 +51,9 @@
                 logEvent(EventKind::request, "upstream_failed",
                     { { "request", sent.id }, { "upstream", name }, { "outcome", outcomeName(reply) },
                         { "ran", refusal->ran == Ran::no ? "no" : "unknown" },
-                        { "ms", (monotonicNow() - startedAt).count() }, { "slot", sent.slot.value } });
+                        { "ms", (monotonicNow() - startedAt).count() }, { "slot", sent.slot.value },
+                        { "revision", context.directory.revision().value },
+                        { "age_ms", context.directory.age().count() } });
             callback(std::move(reply));
         });
 }
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -105,6 +105,7 @@
     const Millis now = monotonicNow();
     auto pending = std::make_unique<PendingRequest>(responder);
     pending->route = route->name;
+    pending->configuration = routes->version;
     pending->maxAttempts = route->maxAttempts;
     pending->receivedAt = http.receivedAt;
     pending->rest = std::move(http.rest);
@@ -152,7 +153,8 @@
     m_context.metrics.count("pistachiospur_refusals_total", { { "reason", factsOf(refusal.reason).name } });
     logEvent(EventKind::request, "refused_at_frontend",
         { { "request", caller.requestId }, { "caller_host", caller.host }, { "reason", factsOf(refusal.reason).name },
-            { "configuration", m_context.directory.routes() ? m_context.directory.routes()->version.value : 0 } });
+            { "configuration", m_context.directory.routes() ? m_context.directory.routes()->version.value : 0 },
+            { "age_ms", m_context.directory.age().count() } });
     return m_context.adapter.refusalResponse(refusal);
 }
 
@@ -510,7 +512,8 @@
         { { "service", request.service }, { "rank", request.rank }, { "outcome", outcome } });
     std::vector<EventField> fields = { { "request", request.id }, { "route", pending->route },
         { "service", request.service }, { "slot", request.slot.value }, { "ms", took.count() },
-        { "tries", pending->refusedAttempts }, { "configuration", m_context.directory.routes()->version.value } };
+        { "tries", pending->refusedAttempts }, { "configuration", pending->configuration.value },
+        { "revision", m_context.directory.revision().value }, { "age_ms", m_context.directory.age().count() } };
     if (refusal) {
         m_context.metrics.count("pistachiospur_refusals_total", { { "reason", factsOf(refusal->reason).name } });
         fields.push_back({ "outcome", factsOf(refusal->reason).name });
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -51,6 +51,7 @@
         }
         Request request;
         std::string route;
+        ConfigVersion configuration; // by which the request was routed
         unsigned maxAttempts = 1; // sends to upstreams that the route allows
         Responder responder;
         Millis receivedAt {};
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -89,7 +89,7 @@
 {
     if (m_context.directory.watchFailedAt() >= m_watchHostSince && hasOtherHosts(now)) {
         markFailed(m_context.settings.host, "store does not answer");
-        m_context.hub.send(followers(), WatchUpdate { {}, {}, true });
+        m_context.hub.send(followers(), WatchUpdate { {}, {}, true, {} });
         return;
     }
     if (now < m_nextHeartbeatAt || !isStoreAnswering())
@@ -124,7 +124,7 @@
 void StoreWatcher::send(const ChangeBatch& batch)
 {
     m_nextHeartbeatAt = monotonicNow() + partOfChangeTime(m_context, kHeartbeatIntervalPercent);
-    WatchUpdate update { { batch.from, batch.to, {} }, {}, false };
+    WatchUpdate update { { batch.from, batch.to, {}, batch.fromRead }, {}, false, m_context.directory.age() };
     for (const auto& it : batch.changes) {
         if (!isTableKey(it.key))
             update.batch.changes.push_back(it);
@@ -143,7 +143,7 @@
     m_failedUntil.erase(from);
     if (from == m_watchHost)
         m_lastHeardAt = monotonicNow();
-    m_context.directory.applyRelayedBatch(update.batch);
+    m_context.directory.applyRelayedBatch(update.batch, update.age);
     readMissedTables(update);
 }
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -45,6 +45,8 @@
         { "pistachiospur_upstream_running", "gauge", "requests from this host that run on an upstream" },
         { "pistachiospur_config_revision", "gauge", "revision of the configuration in force" },
         { "pistachiospur_store_revision", "gauge", "store revision up to which this host has received all changes" },
+        { "pistachiospur_copy_age_seconds", "gauge",
+            "time since this host's copy of the store is known to have been complete" },
         { "pistachiospur_owned_slots", "gauge", "slots owned, by upstream" },
         { "pistachiospur_burn_rate", "gauge", "error budget burn rate by service, rank and window" },
     };
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -155,6 +155,7 @@
     ChangeBatch batch;
     std::vector<std::pair<ServiceName, StoreRevision>> tables;
     bool lost = false; // the sender's watch has failed; the other members are empty
+    Millis age {}; // since the sender's copy, with this batch, held every change of the store
 };
 
 // The sender has been elected leader of a service's ranges. It sends this at intervals to the hosts of previous leaders
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -75,13 +75,15 @@
 using LeaseOpenResult = std::variant<LeaseOpened, StoreError>;
 using LeaseRenewalResult = std::variant<LeaseRenewed, LeaseExpired, StoreError>;
 
-// A store that supports leases. Keys written under a lease are deleted when it ends, as when their writer's process
-// dies.
 // Calls made to a store so far, by kind.
 using CallCounts = std::map<std::string, std::uint64_t>;
 
+// A store that supports leases. Keys written under a lease are deleted when it ends, as when their writer's process
+// dies.
 class LeasedStore : public Store {
 public:
+    // The store is known to have had no changes beyond the last watched batch at this time, on the monotonic clock.
+    virtual Millis watchConfirmedAt() const = 0;
     virtual const CallCounts& callCounts() const = 0;
     virtual void openLease(Millis ttl, std::function<void(LeaseOpenResult)>) = 0;
     virtual void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) = 0;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -15,6 +15,7 @@
     OnBatch onBatch;
     OnWatchEnd onWatchEnd;
     CallCounts counts;
+    Millis confirmedAt {};
 
     void read(const std::string&, std::function<void(ReadResult)> callback) override { reads.push_back(callback); }
     void write(const ConditionalWrite&, std::function<void(WriteResult)>) override { }
@@ -26,6 +27,7 @@
     void stopWatch() override { onBatch = nullptr; }
     bool isWatching() const override { return onBatch != nullptr; }
     std::uint64_t calls() const override { return reads.size(); }
+    Millis watchConfirmedAt() const override { return confirmedAt; }
     const CallCounts& callCounts() const override { return counts; }
     void openLease(Millis, std::function<void(LeaseOpenResult)>) override { }
     void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) override { }
@@ -91,7 +93,8 @@
     void relay(std::uint64_t from, std::uint64_t to, const std::string& key, std::optional<std::string> text)
     {
         directory.applyRelayedBatch(
-            { StoreRevision { from }, StoreRevision { to }, { { key, std::move(text), StoreRevision { to } } } });
+            { StoreRevision { from }, StoreRevision { to }, { { key, std::move(text), StoreRevision { to } } } },
+            Millis(0));
     }
 
     bool isInUse(const UpstreamName& name) const
@@ -112,7 +115,7 @@
     host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
     BOOST_REQUIRE(host.isInUse("u1"));
     host.directory.setWatching(false);
-    host.directory.applyRelayedBatch({ { 105 }, { 106 }, {} }); // a gap, so the whole store is read
+    host.directory.applyRelayedBatch({ { 105 }, { 106 }, {} }, Millis(0)); // a gap, so the whole store is read
     BOOST_REQUIRE(host.store.reads.size() == 2u);
     host.relay(100, 110, host.upstreamKey, "draining");
     host.relay(110, 120, host.upstreamKey, std::nullopt);
