Store watcher: a host reads the store itself before its copy is too old

Cause: one host of each data centre watches the store, the others follow it. A follower that hears nothing waits for the next host in a fixed order, 15 % of the allowed time for each, and after 3 s begins again with the first. With four hosts in a data centre its own turn comes within that; with thirty it may never come. Nothing bounded the sum of these waits, and no host knew how old its copy was. Class: freshness that depends on the health of others, without a bound of one's own.

The worst sum is checked in virtual time.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -114,8 +114,8 @@
     confirm(m_readStartedAt);
     if (m_watching) {
         m_watchAnsweredAt = monotonicNow();
-        if (m_onWatchedChanges)
-            m_onWatchedChanges(merge.relay);
+        if (m_onWatchAnswer)
+            m_onWatchAnswer(merge.relay);
         if (std::exchange(m_firstWatchScheduled, true))
             startWatch();
         else
@@ -172,6 +172,15 @@
 
 void Directory::confirm(Millis at) { m_confirmedAt = std::max(m_confirmedAt, at); }
 
+void Directory::readAlone()
+{
+    if (m_reading)
+        return;
+    logEvent(
+        EventKind::state, "reading_alone", { { "revision", m_known.completeTo.value }, { "age_ms", age().count() } });
+    readAll();
+}
+
 // Range tables are not merged with the other keys, because relayed batches leave them out. The newest revision counts.
 void Directory::takeTables(Snapshot& snapshot)
 {
@@ -218,8 +227,8 @@
     onStoreAnswer();
     m_watchAnsweredAt = monotonicNow();
     confirm(m_store->watchConfirmedAt());
-    if (m_onWatchedChanges && !batch.changes.empty())
-        m_onWatchedChanges(batch);
+    if (m_onWatchAnswer)
+        m_onWatchAnswer(batch);
     applyBatch(batch);
 }
 
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -62,15 +62,15 @@
     void tick();
     // Selects whether this host watches the store itself or applies what another host's watch delivers.
     void setWatching(bool watching);
-    // Sets the callback for changes that this host's own watch delivers; they are sent on to the other hosts.
-    void onWatchedChanges(std::function<void(const ChangeBatch&)> callback)
-    {
-        m_onWatchedChanges = std::move(callback);
-    }
+    // Sets the callback for what this host's own watch delivers; it is sent on to the other hosts. A batch without
+    // changes confirms that there are none.
+    void onWatchAnswer(std::function<void(const ChangeBatch&)> callback) { m_onWatchAnswer = std::move(callback); }
     // Applies a batch from the host that watches the store. Reads the whole store if changes before the batch are
     // missing. `age` is the time since the sender's copy held every change of the store.
     void applyRelayedBatch(const ChangeBatch&, Millis age);
     void readTable(const ServiceName&);
+    // Reads the whole store on a host that follows another's watch, because its copy may be too old.
+    void readAlone();
     // When the store last answered the watch, on the monotonic clock.
     Millis watchAnsweredAt() const { return m_watchAnsweredAt; }
     // When the watch, or the read before it, last failed, on the monotonic clock.
@@ -141,7 +141,7 @@
     std::unique_ptr<LeasedStore> m_store;
     Incarnation m_incarnation;
     std::function<void()> m_onChange;
-    std::function<void(const ChangeBatch&)> m_onWatchedChanges;
+    std::function<void(const ChangeBatch&)> m_onWatchAnswer;
     bool m_watching = true; // this host watches the store itself
     bool m_reading = false; // a read of the whole store is under way
     Millis m_readStartedAt {}; // monotonic clock
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -17,6 +17,12 @@
 constexpr int kHeartbeatTimeoutAfterFailurePercent = 15; // applies once a host is marked as failed
 // A host whose watch failed is not chosen again for this time.
 constexpr Millis kFailedWatchPause { 3000 };
+// The time between two checks whether a read is due, with room for a loop that lags.
+constexpr Millis kOwnReadMargin { 200 };
+// The least age for which a host reads the store itself, as a divisor of the time within which a change must be in
+// force.
+constexpr int kMinOwnReadAgeDivisor = 3;
+constexpr Millis kOwnReadPause { 1000 }; // after a read that failed
 // A leader sends table updates to the hosts directly. If a host still lacks a table after this delay, it reads the
 // table from the store.
 constexpr Millis kTableReadDelay { 500 };
@@ -33,7 +39,7 @@
 StoreWatcher::StoreWatcher(GatewayContext& context)
     : m_context(context)
 {
-    m_context.directory.onWatchedChanges([this](const ChangeBatch& batch) {
+    m_context.directory.onWatchAnswer([this](const ChangeBatch& batch) {
         if (isSelf(m_context, m_watchHost))
             send(batch);
     });
@@ -78,9 +84,26 @@
     m_context.directory.setWatching(watchesHere);
     if (watchesHere)
         watch(now);
-    else if (now - m_lastHeardAt >= partOfChangeTime(
-                 m_context, m_failedUntil.empty() ? kHeartbeatTimeoutPercent : kHeartbeatTimeoutAfterFailurePercent))
+    else
+        follow(now);
+}
+
+bool isOwnReadDue(const OwnReadTimes& times, Millis changeTime, Millis readTimeout, Millis now)
+{
+    const Millis maxAge = std::max(changeTime - readTimeout - kOwnReadMargin, changeTime / kMinOwnReadAgeDivisor);
+    return now - times.confirmedAt >= maxAge && now - times.failedAt >= kOwnReadPause;
+}
+
+// Runs on every other host: notices when the watching host is silent, and when the own copy gets too old.
+void StoreWatcher::follow(Millis now)
+{
+    if (now - m_lastHeardAt >= partOfChangeTime(
+            m_context, m_failedUntil.empty() ? kHeartbeatTimeoutPercent : kHeartbeatTimeoutAfterFailurePercent))
         markFailed(m_watchHost, "silent");
+    const auto& directory = m_context.directory;
+    if (isOwnReadDue({ directory.confirmedAt(), directory.watchFailedAt() }, partOfChangeTime(m_context, 100),
+            Millis(m_context.settings.limits.storeTimeoutMs), now))
+        m_context.directory.readAlone();
 }
 
 // Runs on the watching host: sends heartbeats while the store answers. If the watch has failed and there are other
--- a/src/gateway/watcher.h
+++ b/src/gateway/watcher.h
@@ -14,6 +14,16 @@
 HostName chooseWatchHost(const std::vector<HostName>& order, const std::function<bool(const HostName&)>& isUsable,
     const std::map<HostName, Millis>& failedUntil, Millis now);
 
+// When a host that follows another's watch reads the store itself. All times are on the monotonic clock.
+struct OwnReadTimes {
+    Millis confirmedAt {}; // its copy held every change of the store at this time
+    Millis failedAt {}; // when its last read failed
+};
+
+// Whether the host has to read the store now, so that a change is in force within `changeTime` even if the read takes
+// `readTimeout`. Whatever delays the watching host, or the messages from it, then delays no other host beyond that.
+bool isOwnReadDue(const OwnReadTimes&, Millis changeTime, Millis readTimeout, Millis now);
+
 class StoreWatcher {
 public:
     explicit StoreWatcher(GatewayContext&);
@@ -23,6 +33,7 @@
 
 private:
     bool isStoreAnswering() const;
+    void follow(Millis now);
     void watch(Millis now);
     bool hasOtherHosts(Millis now) const;
     void markFailed(const HostName&, const char* reason);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -519,4 +519,36 @@
     BOOST_TEST(site.holder(kSlot) != owner);
 }
 
+// Guards against a configuration that is not in force on a host that hears no watching host: it waited for one after
+// the other of its data centre and came back to the first before its own turn.
+BOOST_AUTO_TEST_CASE(hostThatHearsNoWatchingHostFollowsTheConfiguration)
+{
+    constexpr int kSilentHosts = 16;
+    Fixture site(0);
+    std::vector<std::unique_ptr<PeerHub>> silentHosts; // answer on their links, but never relay a change
+    for (int n = 0; n < kSilentHosts; ++n) {
+        const HostName name = "silent" + std::to_string(n);
+        const PeerHub::Handlers handlers { [](const HostName&, LinkId, const Message&) {}, nullptr,
+            [](const HostName&) { return std::nullopt; } };
+        silentHosts.push_back(
+            std::make_unique<PeerHub>(Endpoint { "127.0.0.1", 0 }, Hello { name, { 1 }, false }, handlers));
+        site.store.put("pistachiospur/hosts/" + name,
+            Json { { "data_centre", "z1" }, { "address", "127.0.0.1" }, { "port", silentHosts.back()->port() },
+                { "incarnation", 1 }, { "weight", 100 }, { "leaving", false } }
+                .dump());
+    }
+    site.addHost(0);
+    const auto version = [&] {
+        HttpCall call;
+        call.method = "GET";
+        call.endpoint = site.adminEndpoints[0];
+        call.target = "/status";
+        return Json::parse(site.sendCall(call).body, nullptr, false).value("configuration", 0);
+    };
+    BOOST_REQUIRE(site.runLoopUntil([&] { return version() == 1; }));
+    site.runLoopUntil([] { return false; }, Millis(1500)); // until it follows, also in its first seconds
+    site.store.put("op/config", configuration(2, "/moved/"));
+    BOOST_TEST(site.runLoopUntil([&] { return version() == 2; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/watcher_test.cpp
+++ b/tests/watcher_test.cpp
@@ -38,3 +38,53 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OwnReadsOfFollowers)
+
+namespace {
+
+constexpr Millis kChangeTime { 2000 };
+constexpr Millis kReadTimeout { 800 };
+constexpr Millis kTick { 100 };
+
+// The longest time that a change takes to reach a host whose last confirmation is at zero, if its reads take `readTime`
+// and see the store as of their start.
+Millis slowestChange(Millis readTime)
+{
+    OwnReadTimes times { Millis(0), Millis(-10000) };
+    Millis slowest {};
+    for (Millis now(0); now < Millis(60000); now += kTick) {
+        if (!isOwnReadDue(times, kChangeTime, kReadTimeout, now))
+            continue;
+        // A change just after the last confirmation is in force when this read ends.
+        slowest = std::max(slowest, now + readTime - times.confirmedAt);
+        times.confirmedAt = now;
+        now += readTime;
+    }
+    return slowest;
+}
+
+} // namespace
+
+// Guards against a host that serves by an old configuration, or sends to an upstream that has left, because no watching
+// host tells it of the change.
+BOOST_AUTO_TEST_CASE(hostThatHearsNothingHasEachChangeInTime)
+{
+    for (Millis readTime(0); readTime < kReadTimeout; readTime += Millis(50))
+        BOOST_TEST(slowestChange(readTime).count() <= kChangeTime.count());
+}
+
+BOOST_AUTO_TEST_CASE(hostThatIsToldInTimeReadsNothing)
+{
+    for (Millis age(0); age < Millis(900); age += kTick)
+        BOOST_TEST(!isOwnReadDue({ Millis(5000), Millis(0) }, kChangeTime, kReadTimeout, Millis(5000) + age));
+}
+
+BOOST_AUTO_TEST_CASE(hostPausesAfterAReadThatFailed)
+{
+    const OwnReadTimes times { Millis(0), Millis(9500) };
+    BOOST_TEST(!isOwnReadDue(times, kChangeTime, kReadTimeout, Millis(10000)));
+    BOOST_TEST(isOwnReadDue(times, kChangeTime, kReadTimeout, Millis(10500)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
