Directory: one failed call is no outage of the store

Callers: an upstream whose entry was deleted (it left without notice, or it lost the store) went on getting new requests on hosts that had a failed call to the store within the last 4 s: for drain_ms less 200 ms from when that host learnt of the deletion, so that the time until then came on top (DRAIN).

Cause: any failed call, also a single lost lease renewal or a 429, was taken for an outage in which entries of living upstreams expire. Class: evidence about oneself taken for evidence about the store.

Evidence: oneFailedCallIsNoOutage failed on the code before.

Fix: an outage is one in which nobody could confirm this host's copy for two of the upstreams' heartbeats and its own calls failed; the grace counts from the return of the store, and the watching host's judgement goes along with the changes that it relays. upstream_heartbeat_ms comes from the platform's settings.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -25,12 +25,14 @@
 // is the one that watches for its data centre. By the end of the delay the other hosts have written their entries and
 // only the chosen host starts a watch, so the store gets few calls.
 constexpr Millis kFirstWatchDelay { 600 };
-// How long an instance still gets work after its entry may have expired during a store outage. The platform restores
-// such entries within about 2 s of the store's return; the grace is shorter than drain_ms, the platform's bound
-// for upstreams that really leave, by this.
-constexpr Millis kLapsedEntryMargin { 200 };
-// An entry deleted within this time after a store failure may have expired because of the outage.
-constexpr Millis kStoreFailureWindow { 4000 };
+// The platform restores the entries of living upstreams that expired in an outage of the store within about this time
+// of the store's return.
+constexpr Millis kEntryReturnTime { 2000 };
+// An upstream that leaves gets no new work this long before the platform's bound, because a request takes some time to
+// arrive.
+constexpr Millis kDrainMargin { 200 };
+// An entry expires after three missed heartbeats, so an outage of less than two deletes no entry of a living upstream.
+constexpr int kMinOutageHeartbeats = 2;
 constexpr std::size_t kMaxLoggedFaults = 100; // of configurations
 // A host whose entry was deleted stays in use for this long, unless the link to it is lost.
 constexpr Millis kLostHostGrace { 2500 };
@@ -106,6 +108,7 @@
     if (snapshot.revision < m_known.completeTo)
         logEvent(EventKind::state, "read_outdated",
             { { "revision", snapshot.revision.value }, { "known", m_known.completeTo.value } });
+    noteOutage();
     takeTables(snapshot);
     SnapshotMerge merge = mergeSnapshot(m_known, std::move(snapshot));
     for (const auto& change : merge.changes)
@@ -156,7 +159,7 @@
         readAll();
 }
 
-void Directory::applyRelayedBatch(const ChangeBatch& batch, Millis age)
+void Directory::applyRelayedBatch(const ChangeBatch& batch, Millis age, Millis lapseGrace)
 {
     if (m_watching)
         return;
@@ -166,10 +169,27 @@
                 { "age_ms", this->age().count() } });
         return readAll();
     }
-    confirm(monotonicNow() - age);
+    const Millis now = monotonicNow();
+    confirm(now - age);
+    m_lapseGraceEnd = now + lapseGrace;
     applyBatch(batch);
 }
 
+// Decides, when the store answers again, whether entries may have expired because it was away. A failed call alone is
+// no evidence: then other hosts still confirm this host's copy.
+void Directory::noteOutage()
+{
+    const Millis away = m_readStartedAt - m_confirmedAt;
+    const bool isFirstRead = m_known.completeTo == StoreRevision {};
+    if (isFirstRead || m_storeReachable || away < kMinOutageHeartbeats * Millis(m_settings.limits.upstreamHeartbeatMs))
+        return;
+    const Millis grace = std::min(kEntryReturnTime, Millis(m_settings.limits.drainMs) - kDrainMargin);
+    m_lapseGraceEnd = monotonicNow() + grace;
+    logEvent(EventKind::state, "store_outage", { { "away_ms", away.count() }, { "lapse_grace_ms", grace.count() } });
+}
+
+Millis Directory::lapseGrace() const { return std::max(Millis(0), m_lapseGraceEnd - monotonicNow()); }
+
 void Directory::confirm(Millis at) { m_confirmedAt = std::max(m_confirmedAt, at); }
 
 void Directory::readAlone()
@@ -234,7 +254,6 @@
 
 void Directory::onStoreFailure(const char* call, const StoreError& error)
 {
-    m_lastStoreFailureAt = monotonicNow();
     if (std::exchange(m_storeReachable, false))
         logEvent(EventKind::state, "store_lost",
             { { "call", call }, { "status", error.httpStatus }, { "waited_ms", error.waited.count() },
@@ -320,12 +339,11 @@
     if (!instance) {
         if (known == m_instances.end() || known->second.entryGone)
             return;
-        const bool mayHaveLapsed = !change.text && now < m_lastStoreFailureAt + kStoreFailureWindow;
+        const bool mayHaveLapsed = !change.text && now < m_lapseGraceEnd;
         known->second.entryGone = true;
         m_nextRemovalAt = Millis(0);
         if (!known->second.noNewWorkFrom)
-            known->second.noNewWorkFrom
-                = mayHaveLapsed ? now + Millis(m_settings.limits.drainMs) - kLapsedEntryMargin : now;
+            known->second.noNewWorkFrom = mayHaveLapsed ? m_lapseGraceEnd : now;
         logEvent(EventKind::state, "upstream_entry_gone",
             { { "upstream", name }, { "revision", change.version.value }, { "perhaps_lapsed", mayHaveLapsed } });
         return;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -66,8 +66,12 @@
     // changes confirms that there are none.
     void onWatchAnswer(std::function<void(const ChangeBatch&)> callback) { m_onWatchAnswer = std::move(callback); }
     // Applies a batch from the host that watches the store. Reads the whole store if changes before the batch are
-    // missing. `age` is the time since the sender's copy held every change of the store.
-    void applyRelayedBatch(const ChangeBatch&, Millis age);
+    // missing. `age` is the time since the sender's copy held every change of the store, `lapseGrace` what the sender's
+    // lapseGrace() returned.
+    void applyRelayedBatch(const ChangeBatch&, Millis age, Millis lapseGrace);
+    // How much longer an upstream stays in use if its entry is found deleted now. Zero unless the store was away so
+    // long that entries of living upstreams may have expired, and has just returned.
+    Millis lapseGrace() const;
     void readTable(const ServiceName&);
     // Reads the whole store on a host that follows another's watch, because its copy may be too old.
     void readAlone();
@@ -118,6 +122,7 @@
 private:
     void readAll();
     void onReadResult(ReadResult);
+    void noteOutage();
     void confirm(Millis at);
     void startWatch();
     void onWatchBatch(const ChangeBatch&);
@@ -163,7 +168,8 @@
     KeyVersions m_known;
 
     bool m_storeReachable = false;
-    Millis m_lastStoreFailureAt { -100000 }; // monotonic clock
+    // Upstreams whose entries are found deleted before this time stay in use until then; monotonic clock.
+    Millis m_lapseGraceEnd { -100000 };
     Timer m_readRetryTimer;
     Timer m_firstWatchTimer;
     bool m_firstWatchScheduled = false;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -34,6 +34,9 @@
             "a leaving upstream gets no new work after this time, as set by the platform" },
         { "change_ms", &GatewayLimits::changeMs, 2000, 100, 60000, "ms",
             "a configuration is in force on every host after this time, as set by the platform" },
+        { "upstream_heartbeat_ms", &GatewayLimits::upstreamHeartbeatMs, 1000, 1, 60000, "ms",
+            "time between two writes of an upstream's entry; the platform deletes the entry after three without a "
+            "write" },
         { "grace_ms", &GatewayLimits::graceMs, 6000, 1000, 600000, "ms",
             "time from a termination signal until the platform kills the process" },
         { "queue_per_rank", &GatewayLimits::queuePerRank, 64, 1, 100000, "requests",
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -23,6 +23,7 @@
     std::int64_t storeTimeoutMs = 0;
     std::int64_t drainMs = 0;
     std::int64_t changeMs = 0;
+    std::int64_t upstreamHeartbeatMs = 0;
     std::int64_t graceMs = 0;
     std::int64_t queuePerRank = 0;
     std::int64_t retrySlack = 0;
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -112,7 +112,7 @@
 {
     if (m_context.directory.watchFailedAt() >= m_watchHostSince && hasOtherHosts(now)) {
         markFailed(m_context.settings.host, "store does not answer");
-        m_context.hub.send(followers(), WatchUpdate { {}, {}, true, {} });
+        m_context.hub.send(followers(), WatchUpdate { {}, {}, true, {}, {} });
         return;
     }
     if (now < m_nextHeartbeatAt || !isStoreAnswering())
@@ -147,12 +147,14 @@
 void StoreWatcher::send(const ChangeBatch& batch)
 {
     m_nextHeartbeatAt = monotonicNow() + partOfChangeTime(m_context, kHeartbeatIntervalPercent);
-    WatchUpdate update { { batch.from, batch.to, {}, batch.fromRead }, {}, false, m_context.directory.age() };
+    const auto& directory = m_context.directory;
+    WatchUpdate update { { batch.from, batch.to, {}, batch.fromRead }, {}, false, directory.age(),
+        directory.lapseGrace() };
     for (const auto& it : batch.changes) {
         if (!isTableKey(it.key))
             update.batch.changes.push_back(it);
     }
-    for (const auto& [service, stored] : m_context.directory.tables())
+    for (const auto& [service, stored] : directory.tables())
         update.tables.emplace_back(service, stored.revision);
     m_context.hub.send(followers(), update);
 }
@@ -166,7 +168,7 @@
     m_failedUntil.erase(from);
     if (from == m_watchHost)
         m_lastHeardAt = monotonicNow();
-    m_context.directory.applyRelayedBatch(update.batch, update.age);
+    m_context.directory.applyRelayedBatch(update.batch, update.age, update.lapseGrace);
     readMissedTables(update);
 }
 
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -109,7 +109,7 @@
 PISTACHIOSPUR_WIRE(PreviousWriter, std::tie(it.writer, it.leaseEndedFor))
 PISTACHIOSPUR_WIRE(RangeTable, std::tie(it.writer, it.grantTtl, it.previousWriters, it.ranges))
 PISTACHIOSPUR_WIRE(RangeUpdate, std::tie(it.service, it.revision, it.base, it.changes, it.pending))
-PISTACHIOSPUR_WIRE(WatchUpdate, std::tie(it.batch, it.tables, it.lost, it.age))
+PISTACHIOSPUR_WIRE(WatchUpdate, std::tie(it.batch, it.tables, it.lost, it.age, it.lapseGrace))
 
 namespace {
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -156,6 +156,7 @@
     std::vector<std::pair<ServiceName, StoreRevision>> tables;
     bool lost = false; // the sender's watch has failed; the other members are empty
     Millis age {}; // since the sender's copy, with this batch, held every change of the store
+    Millis lapseGrace {}; // how much longer an upstream stays in use whose entry the batch deletes; zero: not at all
 };
 
 // The sender has been elected leader of a service's ranges. It sends this at intervals to the hosts of previous leaders
