Directory: a host that reads the store itself reads the configuration first

Cause: the host led 600 ranges with 0.1 of a core while the fast hosts stood still. Its read of the whole store took longer than store_timeout_ms (reading_alone, then store_lost after 814 ms), and so did the next one.

Fix: the configuration is one small record; it is read by itself, beside the read of the whole store.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -198,9 +198,25 @@
         return;
     logEvent(
         EventKind::state, "reading_alone", { { "revision", m_known.completeTo.value }, { "age_ms", age().count() } });
+    readConfiguration();
     readAll();
 }
 
+// A read of the configuration alone is answered in time even if one of the whole store is too much for a busy host.
+void Directory::readConfiguration()
+{
+    m_store->read(m_adapter.configurationKey, [this](ReadResult result) {
+        if (const auto* error = std::get_if<StoreError>(&result))
+            return onStoreFailure("configuration", *error);
+        auto& values = std::get<Snapshot>(result).values;
+        const auto found = values.find(m_adapter.configurationKey);
+        if (found == values.end() || !mergeRecord(m_known, found->first, found->second.version))
+            return;
+        apply({ found->first, std::move(found->second.text), found->second.version });
+        m_onChange();
+    });
+}
+
 // Range tables are not merged with the other keys, because relayed batches leave them out. The newest revision counts.
 void Directory::takeTables(Snapshot& snapshot)
 {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -121,6 +121,7 @@
 
 private:
     void readAll();
+    void readConfiguration();
     void onReadResult(ReadResult);
     void noteOutage();
     void confirm(Millis at);
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -33,10 +33,10 @@
     void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) override { }
     void revokeLease(LeaseId, std::function<void()>) override { }
 
-    void answerLastRead(Snapshot snapshot)
+    void answerLastRead(ReadResult result)
     {
         const auto callback = reads.back();
-        callback(std::move(snapshot));
+        callback(std::move(result));
     }
 };
 
@@ -59,6 +59,11 @@
         instance.draining = text == "draining";
         return instance;
     };
+    adapter.decodeConfiguration = [](const std::string& text) -> boost::leaf::result<RoutingTable> {
+        RoutingTable table;
+        table.version = { std::stoull(text) };
+        return table;
+    };
     return adapter;
 }
 
@@ -162,4 +167,21 @@
     }
 }
 
+// Guards against a configuration that comes too late on a busy host, whose reads of the whole store time out.
+BOOST_AUTO_TEST_CASE(ownReadBringsTheConfigurationEvenIfTheWholeStoreIsNotRead)
+{
+    Fixture host;
+    const std::string key = host.adapter.configurationKey;
+    host.store.answerLastRead(host.snapshot(100, { { key, { "1", { 90 } } } }));
+    host.directory.setWatching(false);
+    host.directory.readAlone();
+    BOOST_REQUIRE(host.store.reads.size() == 3u);
+    host.store.answerLastRead(StoreError {}); // the whole store
+    const auto configurationRead = host.store.reads[1];
+    configurationRead(host.snapshot(130, { { key, { "2", { 120 } } } }));
+    BOOST_REQUIRE(host.directory.routes().has_value());
+    BOOST_TEST(host.directory.routes()->version.value == 2u);
+    BOOST_TEST(host.directory.revision().value == 100u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
