Limits: an upstream gets no more requests than it states that it takes

Callers: most requests to an upstream in need were sent on and shed or slowed there; the upstream got far more than it had said it takes (LIMIT).

Cause: the header that names the limit was read nowhere.

Why it works: all requests to an upstream start from one queue, at its coordinator, also those that their first host sends in a turn. A token bucket of the stated rate there holds for all hosts together; each start counts, also repeats and what is shed later. A host learns the limit from each answer, in a turn from the report of its end, so that a change of coordinator needs no hand-over: until the first answer a new one has at most slots requests running. The queue knows the rate and refuses at once what would start too late, with a Retry-After of the time until those that wait have started; more urgent ranks start first. A keyed upstream with a limit counts as slow for the range leader, so that ranges move to others.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -4,6 +4,7 @@
 #include "io/http_server.h"
 #include "pistachiospur/request.h"
 #include "ranges/table.h"
+#include "requests/pace.h"
 #include "routes/routes.h"
 #include "store/store.h"
 
@@ -80,6 +81,8 @@
     // `timeLeft` is the time that the upstream has to answer.
     HttpCall (*requestCall)(const UpstreamInstance&, const Request&, Millis timeLeft);
     Reply (*interpretAnswer)(HttpOutcome, const Request&, const UpstreamName& sentTo);
+    // What an answer says of its upstream's limit, whether or not it answers the request.
+    RateNotice (*readRate)(const HttpAnswer&);
 };
 
 } // namespace pistachiospur
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -2,6 +2,8 @@
 
 #include "observe/events.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace pistachiospur {
@@ -34,7 +36,7 @@
 } // namespace
 
 HttpClient::CallId sendRequest(GatewayContext& context, const UpstreamInstance& upstream, const Request& request,
-    const FlowingBody& rest, std::function<void(Reply)> callback)
+    const FlowingBody& rest, SendCallback callback)
 {
     const Millis startedAt = monotonicNow();
     HttpCall call = context.adapter.requestCall(upstream, request, std::max(Millis(1), request.deadline - startedAt));
@@ -46,7 +48,14 @@
     return context.http.start(std::move(call),
         [&context, sent = std::move(sent), name = upstream.id.name, startedAt, callback = std::move(callback)](
             HttpOutcome outcome) {
+            const auto* answer = std::get_if<HttpAnswer>(&outcome);
+            RateNotice rate = answer ? context.adapter.readRate(*answer) : RateNotice {};
             Reply reply = context.adapter.interpretAnswer(std::move(outcome), sent, name);
+            const auto* refused = std::get_if<Refusal>(&reply);
+            // Another upstream says nothing of this one, and an answer that is not valid may lack any header.
+            const bool isOther = refused && refused->reason == RefusalReason::upstreamReplaced;
+            if (isOther || (refused && rate.kind == RateNotice::Kind::unlimited))
+                rate = {};
             if (const auto* refusal = std::get_if<Refusal>(&reply))
                 logEvent(EventKind::request, "upstream_failed",
                     { { "request", sent.id }, { "upstream", name }, { "outcome", outcomeName(reply) },
@@ -54,7 +63,7 @@
                         { "ms", (monotonicNow() - startedAt).count() }, { "slot", sent.slot.value },
                         { "revision", context.directory.revision().value },
                         { "age_ms", context.directory.age().count() } });
-            callback(std::move(reply));
+            callback(std::move(reply), rate);
         });
 }
 
@@ -98,6 +107,38 @@
     pool.policy.maxConcurrent = 0;
     for (const auto* member : availableMembers(pool, monotonicNow()))
         pool.policy.maxConcurrent += member->instance.slots;
+    refreshPace(pool, pool.policy, monotonicNow());
+}
+
+// Sets what the stated limits allow a pool to start. There is no limit as long as one member states none.
+void Dispatcher::refreshPace(const Pool& pool, QueuePolicy& policy, Millis now) const
+{
+    policy.startsPerSecond.reset();
+    policy.nextStartIn = Millis(0);
+    if (m_paces.empty())
+        return;
+    double perSecond = 0;
+    std::optional<Millis> next;
+    for (const auto* member : availableMembers(pool, now)) {
+        const auto pace = m_paces.find(member->instance.id);
+        if (pace == m_paces.end())
+            return;
+        perSecond += *pace->second.perSecond;
+        const Millis ready = timeToStart(pace->second, 0, now);
+        next = std::min(next.value_or(ready), ready);
+    }
+    if (!next)
+        return;
+    policy.startsPerSecond = perSecond;
+    policy.nextStartIn = *next;
+}
+
+// When a caller whose request is refused may come back: once those that wait now have started.
+Millis Dispatcher::retryAfter(const Pool& pool, RankOrder order) const
+{
+    if (!pool.policy.startsPerSecond)
+        return kRefusalRetryAfter;
+    return std::max(kRefusalRetryAfter, pistachiospur::expectedWait(pool.queue, pool.policy, order));
 }
 
 void Dispatcher::refreshPolicy(Pool& pool)
@@ -154,7 +195,7 @@
     m_poolNames[id] = nameOf(pool);
     pool.jobs.emplace(id, std::move(added));
     if (const auto reason = enqueue(pool.queue, pool.policy, waiting, monotonicNow())) {
-        finish(pool, id, notRun(*reason, kRefusalRetryAfter));
+        finish(pool, id, notRun(*reason, retryAfter(pool, waiting.order)));
         return 0;
     }
     startWaiting(pool);
@@ -169,7 +210,9 @@
     for (const auto* candidate : availableMembers(pool, now)) {
         const InstanceEntry& entry = *candidate;
         const Member& member = pool.members[entry.instance.id];
-        if (member.running >= entry.instance.slots)
+        const auto pace = m_paces.find(entry.instance.id);
+        const bool isPaused = pace != m_paces.end() && timeToStart(pace->second, 0, now) > Millis(0);
+        if (member.running >= entry.instance.slots || isPaused)
             continue;
         const bool isNear = entry.instance.dataCentre == origin.dataCentre;
         const double cost
@@ -202,24 +245,47 @@
     job.startedAt = monotonicNow();
     job.instance = entry.instance.id;
     ++pool.members[job.instance].running;
+    if (const auto pace = m_paces.find(job.instance); pace != m_paces.end())
+        spendStart(pace->second, job.startedAt);
     if (job.onTurn)
         return job.onTurn(job.instance);
     job.call = sendRequest(m_context, entry.instance, job.request, job.rest,
-        [this, pool = nameOf(pool), id](Reply reply) { onReply(pool, id, std::move(reply)); });
+        [this, pool = nameOf(pool), id](
+            Reply reply, const RateNotice& rate) { onReply(pool, id, std::move(reply), rate); });
 }
 
-void Dispatcher::endTurn(JobId id, Reply reply)
+void Dispatcher::endTurn(JobId id, Reply reply, const RateNotice& rate)
 {
     const auto pool = m_poolNames.find(id);
     if (pool != m_poolNames.end() && m_pools.at(pool->second).jobs.at(id).running)
-        onReply(std::string(pool->second), id, std::move(reply));
+        onReply(std::string(pool->second), id, std::move(reply), rate);
+}
+
+// Keeps the limit that an upstream states, and logs when that begins or ends.
+void Dispatcher::noteRate(const Job& job, const RateNotice& rate, Millis now)
+{
+    const auto known = m_paces.find(job.instance);
+    if (rate.kind == RateNotice::Kind::silent || (rate.kind == RateNotice::Kind::unlimited && known == m_paces.end()))
+        return;
+    Pace& pace = m_paces[job.instance];
+    const bool wasLimited = pace.perSecond.has_value();
+    pistachiospur::noteRate(pace, rate, job.startedAt, now);
+    const bool isLimited = pace.perSecond.has_value();
+    if (isLimited != wasLimited)
+        logEvent(EventKind::state, "upstream_limit",
+            { { "upstream", job.instance.name }, { "service", job.request.service },
+                { "per_second", isLimited ? nlohmann::json(*pace.perSecond) : nlohmann::json(nullptr) },
+                { "request", job.request.id } });
+    if (!isLimited)
+        m_paces.erase(job.instance);
 }
 
-void Dispatcher::onReply(const std::string& poolName, JobId id, Reply reply)
+void Dispatcher::onReply(const std::string& poolName, JobId id, Reply reply, const RateNotice& rate)
 {
     Pool& pool = m_pools.at(poolName);
     const Job& job = pool.jobs.at(id);
     const Millis now = monotonicNow();
+    noteRate(job, rate, now);
     Member& member = pool.members[job.instance];
     const auto* refusal = std::get_if<Refusal>(&reply);
     if (refusal && refusal->ran == Ran::no) {
@@ -285,7 +351,7 @@
         }
     }
     for (const auto id : overdue)
-        endTurn(id, maybeRun(RefusalReason::upstreamTimeout));
+        endTurn(id, maybeRun(RefusalReason::upstreamTimeout), {});
 }
 
 void Dispatcher::tick()
@@ -296,7 +362,7 @@
         if (waitingCount(pool.queue) == 0)
             continue;
         for (const auto& dropped : dropLate(pool.queue, pool.policy, now))
-            finish(pool, dropped.id, notRun(RefusalReason::queueFull, kRefusalRetryAfter));
+            finish(pool, dropped.id, notRun(RefusalReason::queueFull, retryAfter(pool, dropped.order)));
         startWaiting(pool);
     }
 }
@@ -304,10 +370,17 @@
 Millis Dispatcher::expectedWait(const ServiceName& service, const UpstreamName& upstreamOrGroup, RankOrder order) const
 {
     const auto found = m_pools.find(service + "/" + upstreamOrGroup);
-    if (found == m_pools.end() || found->second.policy.maxConcurrent == 0
-        || found->second.queue.running < found->second.policy.maxConcurrent)
+    if (found == m_pools.end() || found->second.policy.maxConcurrent == 0)
         return Millis(0);
     const Pool& pool = found->second;
+    if (!m_paces.empty()) {
+        QueuePolicy policy = pool.policy;
+        refreshPace(pool, policy, monotonicNow());
+        if (policy.startsPerSecond)
+            return pistachiospur::expectedWait(pool.queue, policy, order);
+    }
+    if (pool.queue.running < pool.policy.maxConcurrent)
+        return Millis(0);
     const auto lane = pool.queue.lanes.find(order);
     const double runMs = lane == pool.queue.lanes.end() ? 0 : lane->second.meanServiceMs;
     // With every slot taken, even the first in the queue waits for one to become free.
@@ -339,6 +412,8 @@
 
 void Dispatcher::refresh()
 {
+    for (auto it = m_paces.begin(); it != m_paces.end();)
+        it = m_context.directory.findInstance(it->first) ? std::next(it) : m_paces.erase(it);
     for (auto& [name, pool] : m_pools) {
         refreshPolicy(pool);
         if (pool.policy.maxConcurrent == 0) {
@@ -367,8 +442,14 @@
         if (pool.service != service)
             continue;
         for (const auto& [instance, member] : pool.members) {
+            // An upstream with a limit counts as one that is as slow as its slots make it by the limit, so that its
+            // load moves to others.
+            const auto pace = m_paces.find(instance);
+            const auto* entry = m_context.directory.findInstance(instance);
+            const double pacedMs
+                = pace == m_paces.end() || !entry ? 0 : 1000.0 * entry->instance.slots / *pace->second.perSecond;
             if (member.runMs > 0)
-                runs.push_back({ instance, member.runMs });
+                runs.push_back({ instance, std::max(member.runMs, pacedMs) });
         }
     }
     return runs;
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "requests/pace.h"
 #include "requests/queue.h"
 #include "requests/spread.h"
 
@@ -26,8 +27,9 @@
 
 // Sends a request to an upstream and interprets its answer. The callback runs later, exactly once, unless the call is
 // cancelled first.
+using SendCallback = std::function<void(Reply, const RateNotice&)>;
 HttpClient::CallId sendRequest(
-    GatewayContext&, const UpstreamInstance&, const Request&, const FlowingBody&, std::function<void(Reply)>);
+    GatewayContext&, const UpstreamInstance&, const Request&, const FlowingBody&, SendCallback);
 
 class Dispatcher {
 public:
@@ -45,7 +47,7 @@
     // before.
     JobId submitForTurn(const UpstreamName&, Request, Callback, TurnCallback, RequestOrigin);
     // Frees the slot of a request that had its turn.
-    void endTurn(JobId, Reply);
+    void endTurn(JobId, Reply, const RateNotice&);
     // Drops a waiting request. A running request is aborted only if it is idempotent.
     void cancel(JobId);
     // Refuses waiting requests that can no longer meet their deadline, and starts others.
@@ -102,13 +104,17 @@
     void endOverdueTurns();
     void sendToUpstream(Pool&, JobId, const InstanceEntry&);
     JobId enqueueJob(const UpstreamName&, Job);
-    void onReply(const std::string& poolName, JobId, Reply);
+    void onReply(const std::string& poolName, JobId, Reply, const RateNotice&);
+    void noteRate(const Job&, const RateNotice&, Millis now);
+    void refreshPace(const Pool&, QueuePolicy&, Millis now) const;
+    Millis retryAfter(const Pool&, RankOrder) const;
     void finish(Pool&, JobId, Reply);
     static std::string nameOf(const Pool&);
 
     GatewayContext& m_context;
     std::map<std::string, Pool> m_pools; // by nameOf()
     std::unordered_map<JobId, std::string> m_poolNames; // of each job's pool
+    std::map<InstanceId, Pace> m_paces; // of the upstreams that state a limit
     JobId m_nextJob = 1;
     Millis m_nextTurnCheckAt {};
 };
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -300,7 +300,7 @@
     const bool wanted = it != m_pending.end() && it->second->state == State::waitingForTurn
         && turn.id == relayId(id, it->second->attempt);
     if (!wanted) {
-        m_context.hub.send(from, RelayTurnOver { turn.id, notRun(RefusalReason::deadlinePassed) });
+        m_context.hub.send(from, RelayTurnOver { turn.id, notRun(RefusalReason::deadlinePassed), {} });
         return;
     }
     PendingRequest& pending = *it->second;
@@ -308,22 +308,23 @@
     const InstanceEntry* upstream = m_context.directory.findInstance(turn.instance);
     if (!upstream || !mayTakeWork(*upstream, monotonicNow())) {
         const Reply refused = notRun(RefusalReason::noOwner);
-        m_context.hub.send(from, RelayTurnOver { turn.id, refused });
+        m_context.hub.send(from, RelayTurnOver { turn.id, refused, {} });
         return onReply(id, attempt, refused);
     }
     pending.state = State::sending;
     pending.link = kNoLink; // from here on the request does not depend on the coordinator
     pending.call = sendRequest(m_context, upstream->instance, pending.request, { pending.rest, pending.bodyBytes },
-        [this, id, attempt, turn, from](Reply reply) {
-            endTurn(from, turn.id, reply);
+        [this, id, attempt, turn, from](Reply reply, const RateNotice& rate) {
+            endTurn(from, turn.id, reply, rate);
             onReply(id, attempt, std::move(reply), turn.wait);
         });
 }
 
 // Tells the coordinator how the request ended, without headers and body.
-void GatewayFrontend::endTurn(const HostName& coordinator, std::uint64_t relay, const Reply& reply)
+void GatewayFrontend::endTurn(
+    const HostName& coordinator, std::uint64_t relay, const Reply& reply, const RateNotice& rate)
 {
-    RelayTurnOver over { relay, reply };
+    RelayTurnOver over { relay, reply, rate };
     if (const auto* answer = std::get_if<Answer>(&reply))
         over.reply = Answer { answer->status, {}, {} };
     m_context.hub.send(coordinator, over);
@@ -478,7 +479,7 @@
     const bool bodyArriving = pending.rest && !pending.rest->isAtEnd();
     if (pending.state == State::sending && (pending.request.idempotent || bodyArriving)) {
         m_context.http.cancel(pending.call);
-        endTurn(pending.coordinator, relay, reply);
+        endTurn(pending.coordinator, relay, reply, {});
     }
     complete(id, reply);
     if (link != kNoLink)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,7 +168,7 @@
             },
             [&](const RelayTurn& received) { m_frontend.onTurn(from, received); },
             [&](RelayTurnOver& received) {
-                onTurnOver({ from, received.id }, std::move(received.reply));
+                onTurnOver({ from, received.id }, std::move(received.reply), received.rate);
             },
             [&](const LoadReport& report) {
                 const auto leader = m_leaders.find(report.service);
@@ -250,11 +250,11 @@
         m_dispatcher.cancel(found->second.job);
 }
 
-void Gateway::onTurnOver(const RelayKey& key, Reply reply)
+void Gateway::onTurnOver(const RelayKey& key, Reply reply, const RateNotice& rate)
 {
     const auto found = m_relayedRequests.find(key);
     if (found != m_relayedRequests.end() && found->second.hadTurn)
-        m_dispatcher.endTurn(found->second.job, std::move(reply));
+        m_dispatcher.endTurn(found->second.job, std::move(reply), rate);
 }
 
 // Cancels the requests that arrived over a lost link, because the peer has given them up.
@@ -267,7 +267,7 @@
             orphans.push_back(key);
     }
     for (const auto& key : orphans) {
-        onTurnOver(key, maybeRun(RefusalReason::hostLost));
+        onTurnOver(key, maybeRun(RefusalReason::hostLost), {});
         onRelayCancel(key);
     }
 }
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -4,6 +4,7 @@
 #include "ownership/release.h"
 #include "pistachiospur/request.h"
 #include "ranges/table.h"
+#include "requests/pace.h"
 #include "requests/quarantine.h"
 #include "store/store.h"
 
@@ -108,6 +109,7 @@
 struct RelayTurnOver {
     std::uint64_t id = 0;
     Reply reply; // an answer without headers and body, or the refusal
+    RateNotice rate {}; // what the upstream's answer says of its limit
 };
 
 // Cancels a relayed request, because the caller has disconnected or the deadline has passed.
--- a/src/requests/pace.cpp
+++ b/src/requests/pace.cpp
@@ -11,10 +11,7 @@
 
 constexpr double kMaxRatePerSecond = 1e6;
 
-double burstOf(double perSecond)
-{
-    return 1 + perSecond * std::chrono::duration<double>(kPaceBurst).count();
-}
+double burstOf(double perSecond) { return 1 + perSecond * std::chrono::duration<double>(kPaceBurst).count(); }
 
 double creditAt(const Pace& pace, Millis now)
 {
--- a/src/requests/queue.cpp
+++ b/src/requests/queue.cpp
@@ -80,15 +80,27 @@
 
 namespace {
 
+// The time until the stated limit allows a start behind `ahead` others, if a part of all starts is for these requests.
+double pacedWait(const QueuePolicy& policy, std::size_t ahead, double part)
+{
+    if (!policy.startsPerSecond)
+        return 0;
+    return static_cast<double>(policy.nextStartIn.count())
+        + 1000 * static_cast<double>(ahead) / (*policy.startsPerSecond * part);
+}
+
 // The expected wait if all waiting requests of this rank and of more urgent ranks start first.
 double waitBehindUrgent(const UpstreamQueue& queue, const QueuePolicy& policy, RankOrder order)
 {
     double ms = 0;
+    std::size_t ahead = 0;
     for (const auto& [laneOrder, lane] : queue.lanes) {
-        if (laneOrder <= order)
-            ms += static_cast<double>(lane.waiting.size()) * lane.meanServiceMs;
+        if (laneOrder > order)
+            continue;
+        ms += static_cast<double>(lane.waiting.size()) * lane.meanServiceMs;
+        ahead += lane.waiting.size();
     }
-    return ms / policy.maxConcurrent;
+    return std::max(ms / policy.maxConcurrent, pacedWait(policy, ahead, 1));
 }
 
 // The expected wait if the rank gets only its guaranteed share of the starts.
@@ -106,7 +118,9 @@
         }
     }
     const double meanRunMs = measuredLanes > 0 ? ms / measuredLanes : 0;
-    return static_cast<double>(own->second.waiting.size() + 1) * meanRunMs / (policy.maxConcurrent * share);
+    const std::size_t starts = own->second.waiting.size() + 1;
+    return std::max(
+        static_cast<double>(starts) * meanRunMs / (policy.maxConcurrent * share), pacedWait(policy, starts, share));
 }
 
 } // namespace
@@ -127,7 +141,7 @@
         return RefusalReason::queueFull;
     const Millis run(static_cast<std::int64_t>(lane.meanServiceMs * policy.runMargin));
     const bool idle = queue.running == 0 && waitingCount(queue) == 0;
-    if (policy.acceptsLateWhenIdle && idle && now < request.deadline) {
+    if (policy.acceptsLateWhenIdle && idle && now + policy.nextStartIn < request.deadline) {
         lane.waiting.push_back(request);
         return std::nullopt;
     }
--- a/src/requests/queue.h
+++ b/src/requests/queue.h
@@ -23,6 +23,9 @@
     // Whether an idle upstream accepts a request that would end late according to the mean service time. Otherwise an
     // upstream that was slow for a while would get no requests, and its mean service time would never recover.
     bool acceptsLateWhenIdle = false;
+    // Starts a second that the upstream's stated limit allows, and the time until the next one; nothing: no limit.
+    std::optional<double> startsPerSecond {};
+    Millis nextStartIn {};
 };
 
 // The least urgent rank leaves one execution slot free for this long after the last arrival of the most urgent rank.
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -107,6 +107,7 @@
     std::string lastHandover() const { return m_lastHandover; }
 
     Millis runTime { 5 }; // of each request
+    std::string statedLimit; // named in each answer, if not empty
     bool crashed = false; // while set, every call fails
     std::vector<ReceivedRequest> received;
     unsigned grants = 0; // accepted, renewals included
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -551,4 +551,29 @@
     BOOST_TEST(site.runLoopUntil([&] { return version() == 2; }));
 }
 
+// Guards against requests beyond the limit that an upstream names: what it does not take is refused at once, unsent.
+BOOST_AUTO_TEST_CASE(upstreamThatNamesALimitGetsNoMoreThanThat)
+{
+    for (const char* path : { "/get/x", "/pool/x" }) {
+        Fixture site;
+        BOOST_REQUIRE(site.waitUntilServed(0));
+        BOOST_REQUIRE(site.waitUntilServed(1));
+        for (auto& it : site.upstreams)
+            it->statedLimit = "0.01";
+        std::size_t served = 0;
+        for (int n = 0; n < 12; ++n) {
+            const HttpAnswer answer = site.send(path, "r" + std::to_string(n), static_cast<std::size_t>(n % 2));
+            served += answer.status == 200;
+            if (answer.status != 200) {
+                BOOST_TEST(answer.status == 503);
+                BOOST_TEST(std::stod(answer.headers.at("retry-after")) > 0);
+                BOOST_TEST(site.runCount("r" + std::to_string(n)) == 0u);
+            }
+        }
+        // The first answer names the limit; the hosts that it passes know it from then on.
+        BOOST_TEST(served >= 1u);
+        BOOST_TEST(served <= 4u);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
