--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -25,9 +25,9 @@
     bool hasLargeBody = false;
 };
 
+using SendCallback = std::function<void(Reply, const RateNotice&)>;
 // Sends a request to an upstream and interprets its answer. The callback runs later, exactly once, unless the call is
 // cancelled first.
-using SendCallback = std::function<void(Reply, const RateNotice&)>;
 HttpClient::CallId sendRequest(
     GatewayContext&, const UpstreamInstance&, const Request&, const FlowingBody&, SendCallback);
 
