--- a/src/store/versions.cpp
+++ b/src/store/versions.cpp
@@ -73,7 +73,7 @@
     return changes;
 }
 
-SnapshotMerge mergeSnapshot(KeyVersions& known, Snapshot snapshot)
+SnapshotMerge mergeSnapshot(KeyVersions& known, Snapshot&& snapshot)
 {
     SnapshotMerge merge;
     merge.relay = { known.completeTo, std::max(known.completeTo, snapshot.revision), {}, true };
--- a/src/store/versions.h
+++ b/src/store/versions.h
@@ -32,7 +32,7 @@
 std::vector<KeyChange> mergeBatch(KeyVersions&, ChangeBatch);
 // Merges a read of all keys. A snapshot older than `completeTo` changes nothing. Its pages may have been read one after
 // the other, so that it also contains some changes after its revision; the watch from its revision repeats those.
-SnapshotMerge mergeSnapshot(KeyVersions&, Snapshot);
+SnapshotMerge mergeSnapshot(KeyVersions&, Snapshot&&);
 // Merges one key that was learned by itself, such as from this host's own write. Returns false if the same or a later
 // state of the key is known, including that it was deleted since.
 bool mergeRecord(KeyVersions&, const std::string& key, StoreRevision version);
