Gateway tests: ports of a host stay reserved until it listens

Cause: the fixture chose a free port by listening on it and closing it again; until the host listened there, an outgoing connection could get it as its own port. Any test of this fixture could fail so, the more the busier the machine.

Fix: the port stays bound by a socket that does not listen, which keeps it from outgoing connections and lets the host listen on it. No check changes. Not shown to fail on demand; the suite passed twice with the change.

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,13 +22,31 @@
 constexpr Millis kTestTimeout { 20000 };
 constexpr std::uint32_t kSlot = 40000;
 
-Endpoint freeEndpoint()
-{
-    const int fd = listenOn({ "127.0.0.1", 0 });
-    Endpoint endpoint { "127.0.0.1", boundPort(fd) };
-    ::close(fd);
-    return endpoint;
-}
+// Ports that stay bound, so that no outgoing connection takes one before its host listens there. A socket that only is
+// bound does not keep another one from listening on its port, since both allow that (SO_REUSEADDR).
+class ReservedPorts {
+public:
+    ReservedPorts() = default;
+    ReservedPorts(const ReservedPorts&) = delete;
+    ReservedPorts& operator=(const ReservedPorts&) = delete;
+    ~ReservedPorts() { std::for_each(m_fds.begin(), m_fds.end(), ::close); }
+
+    Endpoint reserve()
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int enabled = 1;
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        m_fds.push_back(fd);
+        return { "127.0.0.1", boundPort(fd) };
+    }
+
+private:
+    std::vector<int> m_fds;
+};
 
 std::string configuration(unsigned version, const std::string& prefix)
 {
@@ -52,6 +72,7 @@
 
 // A site: a store, three keyed upstreams, one pooled upstream, and hosts.
 struct Fixture {
+    ReservedPorts ports;
     KvStandin store;
     std::vector<std::unique_ptr<RangeUpstream>> upstreams;
     std::vector<std::unique_ptr<Gateway>> gateways;
@@ -83,10 +104,10 @@
         GatewaySettings settings;
         settings.host = "h" + std::to_string(n);
         settings.dataCentre = "z1";
-        settings.callers = freeEndpoint();
-        settings.ready = freeEndpoint();
-        settings.peers = freeEndpoint();
-        settings.admin = freeEndpoint();
+        settings.callers = ports.reserve();
+        settings.ready = ports.reserve();
+        settings.peers = ports.reserve();
+        settings.admin = ports.reserve();
         settings.store = store.endpoint();
         for (const auto& it : gatewayOptions())
             settings.limits.*it.field = it.defaultValue;
