Stand-in store returns from an older copy; held calls; fences seen

Calls can be held, so that a write is carried out late or its answer arrives after the return. The stand-in upstream remembers the fencing tokens that it has seen, also after a release, as the protocol says; it used to forget them when a range was released or covered.

--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -54,64 +54,102 @@
 
 void KvStandin::change(const std::string& key, const std::string* value, std::uint64_t lease)
 {
-    ++m_revision;
+    ++m_state.revision;
     if (value)
-        m_items[key] = { *value, m_revision, lease };
+        m_state.items[key] = { *value, m_state.revision, lease };
     else
-        m_items.erase(key);
-    m_history.push_back({ key, m_revision, value == nullptr });
+        m_state.items.erase(key);
+    m_state.history.push_back({ key, m_state.revision, value == nullptr });
 }
 
-void KvStandin::put(const std::string& key, const std::string& value)
+void KvStandin::put(const std::string& key, const std::string& value) { writeOutside(key, &value); }
+
+void KvStandin::remove(const std::string& key) { writeOutside(key, nullptr); }
+
+void KvStandin::writeOutside(const std::string& key, const std::string* value)
 {
-    change(key, &value, 0);
+    change(key, value, 0);
+    if (beginsWith(key, "op/") || beginsWith(key, "servers/"))
+        m_writtenOutside[key] = value ? std::optional(*value) : std::nullopt;
     serveWatches();
 }
 
-void KvStandin::remove(const std::string& key)
+void KvStandin::saveCopy()
+{
+    m_copy = m_state;
+    m_writtenOutside.clear();
+}
+
+void KvStandin::restoreCopy(bool keepsWritten)
+{
+    m_state = m_copy;
+    ++era;
+    for (auto& [id, lease] : m_state.leases)
+        lease.expiresAt = monotonicNow() + lease.ttl;
+    for (const auto& it : m_watches)
+        m_unanswered.push_back(it.responder);
+    m_watches.clear();
+    if (keepsWritten)
+        rewriteLost();
+}
+
+void KvStandin::rewriteLost()
 {
-    change(key, nullptr, 0);
+    for (const auto& [key, value] : m_writtenOutside) {
+        if (value || m_state.items.count(key))
+            change(key, value ? &*value : nullptr, 0);
+    }
     serveWatches();
 }
 
+void KvStandin::releaseHeld()
+{
+    const std::vector<HeldCall> released = std::exchange(m_held, {});
+    for (const auto& it : released) {
+        if (it.response)
+            it.responder.respond(*it.response);
+        else
+            answer(it.request, it.responder);
+    }
+}
+
 std::string KvStandin::value(const std::string& key) const
 {
-    const auto it = m_items.find(key);
-    return it == m_items.end() ? std::string() : it->second.value;
+    const auto it = m_state.items.find(key);
+    return it == m_state.items.end() ? std::string() : it->second.value;
 }
 
 void KvStandin::compactHistory()
 {
-    m_compactedRevision = m_revision;
-    m_history.clear();
+    m_state.compactedRevision = m_state.revision;
+    m_state.history.clear();
     for (const auto& it : m_watches)
-        it.responder.respond(jsonResponse(410, { { "error", "history" } }));
+        it.responder.respond(withEra(jsonResponse(410, { { "error", "history" } })));
     m_watches.clear();
 }
 
 void KvStandin::onCall(const HttpRequest& request, const Responder& responder)
 {
     if (fault == StoreFault::refuse)
-        return responder.respond({ 503, {}, "" });
+        return responder.respond(withEra({ 503, {}, "" }));
     if (fault == StoreFault::silent) {
         m_unanswered.push_back(responder);
         return;
     }
+    if (!holds || !holds(request))
+        return answer(request, responder);
+    m_held.push_back({ request, responder, {} });
+    if (executesHeld && request.path != "/kv-watch") {
+        m_held.back().response = execute(request);
+        serveWatches();
+    }
+}
+
+void KvStandin::answer(const HttpRequest& request, const Responder& responder)
+{
     if (request.path == "/kv-watch")
         return onWatch(request, responder);
-    HttpResponse response { 404, {}, "" };
-    if (request.path == "/kv-range")
-        response = onRange(request);
-    else if (request.path == "/kv-txn")
-        response = onWrite(request);
-    else if (request.path == "/kv-lease")
-        response = onLeaseOpen(request);
-    else if (beginsWith(request.path, "/kv-keep/"))
-        response = onLeaseRenewal(std::strtoull(request.path.c_str() + 9, nullptr, 10));
-    else if (beginsWith(request.path, "/kv-lease-end/")) {
-        endLease(std::strtoull(request.path.c_str() + 14, nullptr, 10));
-        response.status = 200;
-    }
+    HttpResponse response = execute(request);
     if (fault == StoreFault::loseAnswers && request.path == "/kv-txn")
         m_unanswered.push_back(responder);
     else
@@ -119,6 +157,30 @@
     serveWatches();
 }
 
+HttpResponse KvStandin::execute(const HttpRequest& request)
+{
+    if (request.path == "/kv-range")
+        return withEra(onRange(request));
+    if (request.path == "/kv-txn")
+        return withEra(onWrite(request));
+    if (request.path == "/kv-lease")
+        return withEra(onLeaseOpen(request));
+    if (beginsWith(request.path, "/kv-keep/"))
+        return withEra(onLeaseRenewal(std::strtoull(request.path.c_str() + 9, nullptr, 10)));
+    if (beginsWith(request.path, "/kv-lease-end/")) {
+        endLease(std::strtoull(request.path.c_str() + 14, nullptr, 10));
+        return withEra({ 200, {}, "" });
+    }
+    return withEra({ 404, {}, "" });
+}
+
+HttpResponse KvStandin::withEra(HttpResponse response) const
+{
+    if (namesEra)
+        response.headers.emplace_back("Store-Era", std::to_string(era));
+    return response;
+}
+
 HttpResponse KvStandin::onRange(const HttpRequest& request) const
 {
     // Small enough that reads in tests take several pages.
@@ -126,7 +188,7 @@
     Json items = Json::array();
     const std::string prefix = queryText(request, "path-prefix"), after = queryText(request, "after");
     bool hasMore = false;
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_state.items) {
         if (!beginsWith(key, prefix) || key <= after)
             continue;
         hasMore = items.size() == kPageItems;
@@ -135,7 +197,7 @@
         items.push_back({ { "key", key }, { "value", absl::Base64Escape(item.value) }, { "rev", item.version },
             { "create-rev", item.version }, { "lease", item.lease } });
     }
-    return jsonResponse(200, { { "items", items }, { "has-more", hasMore }, { "store-revision", m_revision } });
+    return jsonResponse(200, { { "items", items }, { "has-more", hasMore }, { "store-revision", m_state.revision } });
 }
 
 void KvStandin::onWatch(const HttpRequest& request, const Responder& responder)
@@ -148,16 +210,16 @@
 
 bool KvStandin::answerWatch(const Watch& watch)
 {
-    if (watch.after < m_compactedRevision) {
-        watch.responder.respond(jsonResponse(410, { { "error", "history" } }));
+    if (watch.after < m_state.compactedRevision || watch.after > m_state.revision) {
+        watch.responder.respond(withEra(jsonResponse(410, { { "error", "history" } })));
         return true;
     }
     Json events = Json::array();
-    for (const auto& event : m_history) {
+    for (const auto& event : m_state.history) {
         if (event.revision <= watch.after || !beginsWith(event.key, watch.prefix))
             continue;
-        const auto item = m_items.find(event.key);
-        if (event.removed || item == m_items.end() || item->second.version != event.revision)
+        const auto item = m_state.items.find(event.key);
+        if (event.removed || item == m_state.items.end() || item->second.version != event.revision)
             events.push_back({ { "key", event.key }, { "rev", event.revision }, { "tombstone", true } });
         else
             events.push_back({ { "key", event.key }, { "value", absl::Base64Escape(item->second.value) },
@@ -165,7 +227,8 @@
     }
     if (events.empty() && monotonicNow() < watch.expiresAt)
         return false;
-    watch.responder.respond(jsonResponse(200, { { "events", events }, { "store-revision", m_revision } }));
+    watch.responder.respond(
+        withEra(jsonResponse(200, { { "events", events }, { "store-revision", m_state.revision } })));
     return true;
 }
 
@@ -183,47 +246,47 @@
     Json current = Json::array();
     bool allMatch = true;
     for (const auto& expected : body["expect-rev"]) {
-        const auto item = m_items.find(expected["key"]);
-        const std::uint64_t version = item == m_items.end() ? 0 : item->second.version;
+        const auto item = m_state.items.find(expected["key"]);
+        const std::uint64_t version = item == m_state.items.end() ? 0 : item->second.version;
         allMatch &= version == expected["rev"].get<std::uint64_t>();
         if (version)
             current.push_back({ { "key", expected["key"] }, { "value", absl::Base64Escape(item->second.value) },
                 { "rev", version } });
     }
     if (!allMatch)
-        return jsonResponse(412, { { "items", current }, { "store-revision", m_revision } });
+        return jsonResponse(412, { { "items", current }, { "store-revision", m_state.revision } });
     for (const auto& put : body["puts"]) {
         const std::uint64_t lease = put.value("lease", std::uint64_t(0));
-        if (lease && !m_leases.count(lease))
+        if (lease && !m_state.leases.count(lease))
             return jsonResponse(404, Json::object());
     }
     // change() increments the revision. It is reset before each change, so that all changes get the same one.
-    const std::uint64_t revision = m_revision + 1;
+    const std::uint64_t revision = m_state.revision + 1;
     for (const auto& put : body["puts"]) {
         std::string value;
         absl::Base64Unescape(put["value"].get<std::string>(), &value);
-        m_revision = revision - 1;
+        m_state.revision = revision - 1;
         change(put["key"], &value, put.value("lease", std::uint64_t(0)));
     }
     for (const auto& key : body["remove"]) {
-        m_revision = revision - 1;
+        m_state.revision = revision - 1;
         change(key, nullptr, 0);
     }
     ++writes;
-    return jsonResponse(200, { { "rev", m_revision } });
+    return jsonResponse(200, { { "rev", m_state.revision } });
 }
 
 HttpResponse KvStandin::onLeaseOpen(const HttpRequest& request)
 {
     const Millis ttl(Json::parse(request.body)["ttl-ms"].get<std::int64_t>());
-    m_leases[m_nextLeaseId] = { ttl, monotonicNow() + ttl };
-    return jsonResponse(200, { { "lease", m_nextLeaseId++ }, { "ttl-ms", ttl.count() } });
+    m_state.leases[m_state.nextLeaseId] = { ttl, monotonicNow() + ttl };
+    return jsonResponse(200, { { "lease", m_state.nextLeaseId++ }, { "ttl-ms", ttl.count() } });
 }
 
 HttpResponse KvStandin::onLeaseRenewal(std::uint64_t lease)
 {
-    const auto it = m_leases.find(lease);
-    if (it == m_leases.end())
+    const auto it = m_state.leases.find(lease);
+    if (it == m_state.leases.end())
         return jsonResponse(404, Json::object());
     it->second.expiresAt = monotonicNow() + it->second.ttl;
     return jsonResponse(200, { { "ttl-ms", it->second.ttl.count() } });
@@ -231,10 +294,10 @@
 
 void KvStandin::endLease(std::uint64_t lease)
 {
-    if (!m_leases.erase(lease))
+    if (!m_state.leases.erase(lease))
         return;
     std::vector<std::string> keys;
-    for (const auto& [key, item] : m_items) {
+    for (const auto& [key, item] : m_state.items) {
         if (item.lease == lease)
             keys.push_back(key);
     }
@@ -247,12 +310,12 @@
 {
     const Millis now = monotonicNow();
     if (fault == StoreFault::silent || fault == StoreFault::refuse) {
-        for (auto& [id, lease] : m_leases)
+        for (auto& [id, lease] : m_state.leases)
             lease.expiresAt += kTickInterval;
         return;
     }
     std::vector<std::uint64_t> expired;
-    for (const auto& [id, lease] : m_leases) {
+    for (const auto& [id, lease] : m_state.leases) {
         if (now >= lease.expiresAt)
             expired.push_back(id);
     }
@@ -288,6 +351,16 @@
     });
 }
 
+std::uint64_t RangeUpstream::highestFence(std::uint32_t slot) const
+{
+    std::uint64_t highest = 0;
+    for (const auto& it : grantLog) {
+        if (it.first <= slot && slot <= it.last)
+            highest = std::max(highest, it.fence);
+    }
+    return highest;
+}
+
 void RangeUpstream::onCall(const HttpRequest& request, const Responder& responder)
 {
     if (crashed)
@@ -307,11 +380,14 @@
     const Json body = Json::parse(request.body);
     const HeldGrant granted { body["from"], body["to"], body["fence"],
         monotonicNow() + Millis(body["hold-ms"].get<std::int64_t>()) };
-    for (const auto& it : m_grants) {
-        if (it.first <= granted.last && granted.first <= it.last && it.fence > granted.fence)
+    for (const auto& it : grantLog) {
+        if (it.first <= granted.last && granted.first <= it.last && it.fence > granted.fence) {
+            ++refusedGrants;
             return jsonResponse(409, Json::object());
+        }
     }
     ++grants;
+    grantLog.push_back({ granted.first, granted.last, granted.fence, monotonicNow() });
     if (body.contains("handover"))
         m_lastHandover = body["handover"];
     const auto covered = [&](const HeldGrant& it) { return granted.first <= it.first && it.last <= granted.last; };
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -4,8 +4,10 @@
 #include "ranges/table.h"
 #include "store/store.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,8 +34,26 @@
     std::string value(const std::string& key) const;
     // Discards the history and answers the waiting watches with 410.
     void compactHistory();
-    std::uint64_t revision() const { return m_revision; }
-
+    std::uint64_t revision() const { return m_state.revision; }
+    // Remembers the store's present state as the copy that restoreCopy() returns to.
+    void saveCopy();
+    // The store returns from the copy in a new era: all writes and leases since are lost, and their revisions and lease
+    // ids will be given out again. Leases of the copy start anew, and waiting watches are never answered. If
+    // `keepsWritten` is set, rewriteLost() follows at once.
+    void restoreCopy(bool keepsWritten);
+    // Writes again what put() and remove() have done to the operator's and the upstreams' keys since saveCopy().
+    void rewriteLost();
+    // Answers the held calls in the order of their arrival.
+    void releaseHeld();
+    std::size_t heldCalls() const { return m_held.size(); }
+
+    std::uint64_t era = 1; // how often the store has returned from a copy, plus one
+    bool namesEra = true; // in all answers
+    // Calls for which this returns true are held until releaseHeld().
+    std::function<bool(const HttpRequest&)> holds;
+    // Held calls other than watches are executed when they arrive and only their answers are held, with the era of
+    // their execution. If not set, they are executed when they are released.
+    bool executesHeld = false;
     StoreFault fault = StoreFault::none;
     unsigned writes = 0; // conditional writes applied
 
@@ -60,7 +80,26 @@
         Millis expiresAt {};
     };
 
+    // What the store keeps on its disk.
+    struct State {
+        std::map<std::string, Item> items;
+        std::vector<Event> history;
+        std::uint64_t compactedRevision = 0; // changes up to here are no longer in the history
+        std::uint64_t revision = 1;
+        std::uint64_t nextLeaseId = 1;
+        std::map<std::uint64_t, Lease> leases;
+    };
+    struct HeldCall {
+        HttpRequest request;
+        Responder responder;
+        std::optional<HttpResponse> response; // if the call has been executed
+    };
+
     void onCall(const HttpRequest&, const Responder&);
+    void answer(const HttpRequest&, const Responder&);
+    HttpResponse execute(const HttpRequest&);
+    HttpResponse withEra(HttpResponse) const;
+    void writeOutside(const std::string& key, const std::string* value);
     HttpResponse onRange(const HttpRequest&) const;
     void onWatch(const HttpRequest&, const Responder&);
     HttpResponse onWrite(const HttpRequest&);
@@ -72,12 +111,11 @@
     void serveWatches();
     void tick();
 
-    std::map<std::string, Item> m_items;
-    std::vector<Event> m_history;
-    std::uint64_t m_compactedRevision = 0; // changes up to here are no longer in the history
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_nextLeaseId = 1;
-    std::map<std::uint64_t, Lease> m_leases;
+    State m_state;
+    State m_copy;
+    // The operator's and the upstreams' keys changed since saveCopy(), with their values; without one if removed.
+    std::map<std::string, std::optional<std::string>> m_writtenOutside;
+    std::vector<HeldCall> m_held;
     std::vector<Watch> m_watches;
     std::vector<Responder> m_unanswered; // to calls that a fault left without an answer
     Timer m_timer;
@@ -94,6 +132,14 @@
     bool callerGone = false; // the connection was closed before the answer
 };
 
+// A grant that an upstream accepted.
+struct AcceptedGrant {
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t fence = 0;
+    Millis at {};
+};
+
 class RangeUpstream {
 public:
     RangeUpstream(std::string service, std::string name, std::int64_t startTime, bool keyed);
@@ -103,6 +149,8 @@
     const std::string& name() const { return m_name; }
     // True while it has a grant in force for the slot and has not crashed.
     bool holds(std::uint32_t slot) const;
+    // The highest fencing token accepted for the slot since the upstream's start; 0 if none.
+    std::uint64_t highestFence(std::uint32_t slot) const;
     // Handover token of the last grant that had one.
     std::string lastHandover() const { return m_lastHandover; }
 
@@ -111,6 +159,8 @@
     bool crashed = false; // while set, every call fails
     std::vector<ReceivedRequest> received;
     unsigned grants = 0; // accepted, renewals included
+    std::vector<AcceptedGrant> grantLog; // renewals included
+    unsigned refusedGrants = 0; // because of a lower fencing token
 
 private:
     struct HeldGrant {
