--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiospur/era.h"
 #include "pistachiospur/errors.h"
 #include "replica.h"
 
@@ -85,6 +86,8 @@
     // The store is known to have had no changes beyond the last watched batch at this time, on the monotonic clock.
     virtual Millis watchConfirmedAt() const = 0;
     virtual const CallCounts& callCounts() const = 0;
+    // The latest era that an answer of the store named.
+    virtual StoreEra era() const = 0;
     virtual void openLease(Millis ttl, std::function<void(LeaseOpenResult)>) = 0;
     virtual void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) = 0;
     virtual void revokeLease(LeaseId, std::function<void()> onEnd) = 0;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -16,6 +16,7 @@
     OnWatchEnd onWatchEnd;
     CallCounts counts;
     Millis confirmedAt {};
+    StoreEra currentEra;
 
     void read(const std::string&, std::function<void(ReadResult)> callback) override { reads.push_back(callback); }
     void write(const ConditionalWrite&, std::function<void(WriteResult)>) override { }
@@ -29,6 +30,7 @@
     std::uint64_t calls() const override { return reads.size(); }
     Millis watchConfirmedAt() const override { return confirmedAt; }
     const CallCounts& callCounts() const override { return counts; }
+    StoreEra era() const override { return currentEra; }
     void openLease(Millis, std::function<void(LeaseOpenResult)>) override { }
     void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) override { }
     void revokeLease(LeaseId, std::function<void()>) override { }
