--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -18,6 +18,7 @@
 const std::string kHostPrefix = "pistachiospur/hosts/";
 const std::string kLeaderPrefix = "pistachiospur/keepers/";
 const std::string kTablePrefix = "pistachiospur/ranges/";
+const std::string kClaimPrefix = "pistachiospur/claims/";
 
 // Delay between a failed store call and the next one.
 constexpr Millis kStoreRetryDelay { 250 };
@@ -52,6 +53,29 @@
 } // namespace
 
 std::string leaderKey(const ServiceName& service) { return kLeaderPrefix + service; }
+std::string claimKey(const ServiceName& service, const std::string& claim)
+{
+    return kClaimPrefix + service + "/" + claim;
+}
+
+std::string encode(const LeaderEntry& entry)
+{
+    return Json {
+        { "host", entry.host }, { "incarnation", entry.incarnation.value }, { "lease", entry.lease.value },
+        { "claim", entry.claim }, { "era", eraOf(entry.version).value }
+    }.dump();
+}
+
+std::optional<LeaderEntry> decodeLeaderEntry(const std::string& text, StoreRevision stored)
+{
+    const Json record = Json::parse(text, nullptr, false);
+    if (!record.is_object())
+        return std::nullopt;
+    return LeaderEntry { record.value("host", ""), { record.value("incarnation", std::uint64_t(0)) },
+        { record.value("lease", std::uint64_t(0)) }, record.value("claim", ""),
+        inEra({ record.value("era", std::uint64_t(0)) }, stored) };
+}
+
 std::string tableKey(const ServiceName& service) { return kTablePrefix + service; }
 bool isTableKey(const std::string& key) { return beginsWith(key, kTablePrefix); }
 
@@ -108,6 +132,8 @@
     if (snapshot.revision < m_known.completeTo)
         logEvent(EventKind::state, "read_outdated",
             { { "revision", snapshot.revision.value }, { "known", m_known.completeTo.value } });
+    if (m_known.completeTo == StoreRevision {})
+        m_firstEra = m_store->era();
     noteOutage();
     takeTables(snapshot);
     SnapshotMerge merge = mergeSnapshot(m_known, std::move(snapshot));
@@ -398,7 +424,7 @@
     entry.incarnation = { record.value("incarnation", std::uint64_t(0)) };
     entry.weight = std::max(kMinWeight, record.value("weight", 1.0));
     entry.leaving = record.value("leaving", false);
-    entry.version = change.version;
+    entry.version = inEra({ record.value("era", std::uint64_t(0)) }, change.version);
     const auto known = m_hosts.find(name);
     entry.leaving |= known != m_hosts.end() && known->second.leaving && known->second.incarnation == entry.incarnation;
     logEvent(EventKind::state, "host",
@@ -411,29 +437,29 @@
 
 void Directory::applyLeader(const ServiceName& service, const KeyChange& change)
 {
-    const Json record = parse(change);
-    if (!record.is_object()) {
-        if (m_leaders.erase(service))
-            logEvent(EventKind::state, "leader_gone", { { "service", service } });
-        return;
-    }
-    setLeader(service,
-        { record.value("host", ""), { record.value("incarnation", std::uint64_t(0)) },
-            { record.value("lease", std::uint64_t(0)) }, change.version });
+    if (auto entry = change.text ? decodeLeaderEntry(*change.text, change.version) : std::nullopt)
+        setLeader(service, std::move(*entry));
+    else if (m_leaders.erase(service))
+        logEvent(EventKind::state, "leader_gone", { { "service", service } });
 }
 
 void Directory::recordLeader(const ServiceName& service, LeaderEntry entry)
 {
-    if (mergeRecord(m_known, leaderKey(service), entry.version))
+    const auto known = m_leaders.find(service);
+    const bool isOfLaterEra = known != m_leaders.end() && eraOf(known->second.version) < eraOf(entry.version);
+    if (mergeRecord(m_known, leaderKey(service), counterOf(entry.version)) || isOfLaterEra)
         setLeader(service, std::move(entry));
 }
 
 void Directory::setLeader(const ServiceName& service, LeaderEntry entry)
 {
     auto& known = m_leaders[service];
+    if (entry.version < known.version)
+        return;
     known = std::move(entry);
     logEvent(EventKind::state, "leader",
-        { { "service", service }, { "keeper", known.host }, { "revision", known.version.value } });
+        { { "service", service }, { "keeper", known.host }, { "era", eraOf(known.version).value },
+            { "revision", counterOf(known.version).value } });
 }
 
 void Directory::applyTable(const KeyChange& change)
@@ -441,9 +467,10 @@
     const ServiceName service = change.key.substr(kTablePrefix.size());
     if (!change.text) {
         const auto known = m_tables.find(service);
-        if (known != m_tables.end() && known->second.revision <= change.version)
+        const StoreRevision deletedAt = inEra(m_store->era(), change.version);
+        if (known != m_tables.end() && known->second.revision <= deletedAt)
             m_tables.erase(known);
-        m_tableDeletions[service] = std::max(m_tableDeletions[service], change.version);
+        m_tableDeletions[service] = std::max(m_tableDeletions[service], deletedAt);
         return;
     }
     auto table = decodeRangeTable(*change.text, change.version);
@@ -451,7 +478,8 @@
         logEvent(EventKind::state, "ranges_refused", { { "service", service }, { "revision", change.version.value } });
         return;
     }
-    recordTable(service, { std::move(*table), change.version, {} });
+    const StoreRevision revision = revisionOf(*table, change.version);
+    recordTable(service, { std::move(*table), revision, {} });
 }
 
 void Directory::recordTable(const ServiceName& service, StoredTable stored)
@@ -555,7 +583,8 @@
         return;
     const Json record = { { "data_centre", m_settings.dataCentre }, { "address", m_settings.peers.address },
         { "port", m_settings.peers.port }, { "incarnation", m_incarnation.value },
-        { "weight", static_cast<double>(m_settings.processorPercent) / 100 }, { "leaving", m_leaving } };
+        { "weight", static_cast<double>(m_settings.processorPercent) / 100 }, { "leaving", m_leaving },
+        { "era", m_store->era().value } };
     const std::string key = kHostPrefix + m_settings.host, text = record.dump();
     m_hostEntryWritePending = true;
     m_store->write({ {}, { { key, text, m_lease.id() } } }, [this, key, text](const WriteResult& result) {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -21,7 +21,7 @@
     Incarnation incarnation;
     double weight = 1; // for rendezvous hashing: the processor cores that the host may use
     bool leaving = false;
-    StoreRevision version; // of its entry
+    StoreRevision version; // of its entry, in the era in which its host wrote it
     std::optional<Millis> entryGoneSince; // monotonic clock; set once the host's entry is deleted
 };
 
@@ -30,7 +30,9 @@
     HostName host;
     Incarnation incarnation;
     LeaseId lease; // the record is deleted when this lease ends
-    StoreRevision version;
+    // Names this election like no other. A key with this name is written and deleted together with the record.
+    std::string claim;
+    StoreRevision version; // in the era in which its host was elected; in any later era the record does not count
 };
 
 struct StoredTable {
@@ -47,6 +49,12 @@
 };
 
 std::string leaderKey(const ServiceName&);
+// The key of a leader's claim. A write that expects it takes effect only under this very record: the versions of the
+// record itself are given out again when the store comes back from an older copy.
+std::string claimKey(const ServiceName&, const std::string& claim);
+// The text of a leader record, and the record of a text; nothing if it is not one. `stored` is the key's version.
+std::string encode(const LeaderEntry&);
+std::optional<LeaderEntry> decodeLeaderEntry(const std::string& text, StoreRevision stored);
 std::string tableKey(const ServiceName&);
 bool isTableKey(const std::string& key);
 
@@ -113,6 +121,9 @@
     bool hasHostEntry() const { return m_hostEntryWritten; }
     void recordStoreFailure(const char* call, const StoreError& error) { onStoreFailure(call, error); }
     bool isStoreReachable() const { return m_storeReachable; }
+    StoreEra storeEra() const { return m_store->era(); }
+    // Whether the store has come back from an older copy since this process first read it.
+    bool hasEraRisen() const { return m_firstEra != storeEra(); }
     // When this host's copy is last known to have held every change of the store, on the monotonic clock.
     Millis confirmedAt() const { return m_confirmedAt; }
     Millis age() const { return monotonicNow() - m_confirmedAt; }
@@ -168,6 +179,7 @@
     std::map<ServiceName, StoreRevision> m_tableDeletions; // older tables are outdated
     KeyVersions m_known;
 
+    StoreEra m_firstEra; // of the first read
     bool m_storeReachable = false;
     // Upstreams whose entries are found deleted before this time stay in use until then; monotonic clock.
     Millis m_lapseGraceEnd { -100000 };
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -16,7 +16,12 @@
 // Each host stands for election this much later than the host before it in the order. The earlier hosts may have failed
 // although their directory entries have not expired yet.
 constexpr Millis kElectionStep { 200 };
+// When the store has come back from an older copy, the host that led may claim its office again before others stand.
+constexpr Millis kReclaimTime { 1000 };
 constexpr Millis kInitialOwnersSettleTime { 1000 };
+// The grant TTL does not grow with further ranges than this for each owner, so that a host can tell the longest TTL of
+// a table that it does not know.
+constexpr std::size_t kMaxPacedRangesPerOwner = 4;
 // One plan may make one move per this many owners, so that large sites are balanced as fast as small ones.
 constexpr std::size_t kOwnersPerMove = 10;
 constexpr Millis kQueryInterval { 300 };
@@ -36,7 +41,11 @@
     : m_context(context)
     , m_service(std::move(service))
     , m_lease(context.directory.store(), Millis(context.settings.limits.leaderLeaseMs),
-          { [this] { writeLeaderRecord(); }, [this] { onLeaseEnded(); },
+          { [this] {
+               const LeaderEntry* known = m_context.directory.leaderOf(m_service);
+               writeLeaderRecord(known ? std::optional(*known) : std::nullopt, true);
+           },
+              [this] { onLeaseEnded(); },
               [this](const StoreError& error) { m_context.directory.recordStoreFailure("leader lease", error); } })
 {
 }
@@ -47,13 +56,28 @@
 }
 
 // The table may change only while the leader's lease is valid.
-bool RangeLeader::mayWriteTable() const { return m_isLeader && bootNow() < m_lease.validUntil(); }
+bool RangeLeader::mayWriteTable() const
+{
+    return m_isLeader && eraOf(m_recordRevision) == m_context.directory.storeEra() && bootNow() < m_lease.validUntil();
+}
 
 // A leader may go on renewing grants for outageMs after its lease, so that an outage of the store does not interrupt
 // upstreams. The next leader assumes that it does, until this one has confirmed that it stopped.
 bool RangeLeader::mayRenew() const
 {
-    return m_isLeader && bootNow() < m_lease.validUntil() + Millis(m_context.settings.limits.outageMs);
+    return m_isLeader && bootNow() < m_leaseValidUntil + Millis(m_context.settings.limits.outageMs);
+}
+
+// Until when grants may be valid that a leader of an earlier era sent without this host's knowledge. Its lease may have
+// been renewed just before the store came back without it.
+Millis RangeLeader::unknownGrantsEnd() const
+{
+    const auto& limits = m_context.settings.limits;
+    std::size_t owners = 0;
+    for (const auto& [name, entry] : m_context.directory.instances())
+        owners += entry.instance.service == m_service;
+    const Millis ttl = std::max({ grantTtlFor(kMaxPacedRangesPerOwner * owners), m_earlierGrantTtl, m_table.grantTtl });
+    return m_leaderSince + m_lease.ttl() + Millis(limits.outageMs) + Millis(limits.orderTimeoutMs) + longestGrant(ttl);
 }
 
 // Time between two grants of a range: renewalIntervalMs, or longer if this host's grant rate does not allow that for
@@ -128,8 +152,6 @@
 {
     const Millis now = monotonicNow();
     const Millis outage(m_context.settings.limits.outageMs);
-    const LeaderAnnouncement announcement { m_service, m_context.settings.host, m_context.incarnation, m_lease.id(),
-        m_recordRevision };
     const bool queryNow = now >= m_nextQueryAt;
     if (queryNow)
         m_nextQueryAt = now + kQueryInterval;
@@ -140,16 +162,23 @@
         if (outageOver || hasWriterEnded(writer))
             leader.stoppedAt = bootNow();
         else if (queryNow)
-            m_context.hub.send(writer.substr(0, writer.find('#')), announcement);
+            m_context.hub.send(writer.substr(0, writer.find('#')), announcement());
     }
 }
 
-LeaderSteppedDown RangeLeader::onLeaderAnnouncement(const LeaderAnnouncement& announcement)
+LeaderAnnouncement RangeLeader::announcement() const
 {
-    m_context.directory.recordLeader(announcement.service,
-        { announcement.host, announcement.incarnation, announcement.lease, announcement.revision });
+    return { m_service, m_context.settings.host, m_context.incarnation, m_lease.id(), m_claim, m_recordRevision };
+}
+
+Message RangeLeader::onLeaderAnnouncement(const LeaderAnnouncement& received)
+{
+    m_context.directory.recordLeader(
+        received.service, { received.host, received.incarnation, received.lease, received.claim, received.revision });
     updateLeadership();
-    return { m_service, m_context.incarnation, announcement.revision };
+    if (m_isLeader && m_recordRevision > received.revision)
+        return announcement();
+    return LeaderSteppedDown { m_service, m_context.incarnation, received.revision };
 }
 
 void RangeLeader::onLeaderSteppedDown(const HostName& from, const LeaderSteppedDown& stopped)
@@ -167,6 +196,8 @@
 
 void RangeLeader::tick()
 {
+    if (m_isLeader && !m_carriesOver && m_lease.era() == eraOf(m_recordRevision))
+        m_leaseValidUntil = std::max(m_leaseValidUntil, m_lease.validUntil());
     updateLeadership();
     if (!mayRenew())
         return;
@@ -195,18 +226,30 @@
 
 void RangeLeader::updateLeadership()
 {
-    const LeaderEntry* entry = m_context.directory.leaderOf(m_service);
+    const Millis now = monotonicNow();
+    if (m_era != m_context.directory.storeEra()) {
+        m_era = m_context.directory.storeEra();
+        m_eraKnownAt = bootNow();
+        for (auto& [key, state] : m_rangeStates)
+            state.renewedInEra = false;
+    }
+    const LeaderEntry* known = m_context.directory.leaderOf(m_service);
+    if (known && m_lastLeader.version <= known->version)
+        m_lastLeader = *known;
+    const LeaderEntry* entry = known && eraOf(known->version) == m_era ? known : nullptr;
     const bool ownHost = entry && isSelf(m_context, entry->host);
-    const bool ownRecord = ownHost && entry->incarnation == m_context.incarnation && entry->lease == m_lease.id();
-    if (m_isLeader && !ownRecord)
+    const bool ownRecord = ownHost && entry->claim == m_claim && !m_claim.empty();
+    if (m_isLeader && !ownRecord && !mayClaimAgain(entry))
         stepDown("another host is the leader, or the leader record is gone");
-    if (m_isLeader)
+    if (m_isLeader && ownRecord && entry->version == m_recordRevision) {
+        if (m_carriesOver && !mayRenew())
+            startAnew();
         return;
-    if (ownRecord)
+    }
+    if (ownRecord && entry->lease == m_lease.id())
         return becomeLeader(entry->version);
-    const Millis now = monotonicNow();
-    const bool eligible
-        = !m_resigned && !m_context.stopping && m_context.directory.hasHostEntry() && now >= m_ineligibleUntil;
+    const bool eligible = !m_resigned && !m_context.stopping && now >= m_ineligibleUntil
+        && (m_isLeader || m_context.directory.hasHostEntry());
     if (!eligible || (entry && !ownHost)) {
         m_vacantSince = Millis(-1);
         if (m_wantsLease)
@@ -214,74 +257,168 @@
         return;
     }
     if (m_wantsLease)
-        return;
-    if (m_vacantSince < Millis(0))
+        return m_lease.followEra();
+    if (m_vacantSince < Millis(0) || mayOthersClaimAgain())
         m_vacantSince = now;
-    const auto order = hostsFor(m_context, "keeper/" + m_service, "", HostOrder::fastestFirst);
-    const auto position = ownHost ? 0 : std::find(order.begin(), order.end(), m_context.settings.host) - order.begin();
-    if (now >= m_vacantSince + kElectionStep * position) {
+    if (now >= m_vacantSince + electionDelay(ownHost || m_isLeader)) {
         m_wantsLease = true;
         m_lease.start();
     }
 }
 
+// Whether this host, which leads under the record of an earlier era, may claim its office again.
+bool RangeLeader::mayClaimAgain(const LeaderEntry* current) const
+{
+    return !current && eraOf(m_recordRevision) != m_era && mayRenew();
+}
+
+// Whether this host may write its leader record in place of a known one: that of an earlier process of this host, or of
+// an earlier era.
+bool RangeLeader::mayReplace(const LeaderEntry& record) const
+{
+    return isSelf(m_context, record.host) || eraOf(record.version) != m_era;
+}
+
+// Whether the host that led in the earlier era may still be elected again before others.
+bool RangeLeader::mayOthersClaimAgain() const
+{
+    return !m_lastLeader.host.empty() && eraOf(m_lastLeader.version) != m_era && !isSelf(m_context, m_lastLeader.host)
+        && canTakeWork(m_context, m_lastLeader.host, monotonicNow()) && bootNow() < m_eraKnownAt + kReclaimTime;
+}
+
+// How long this host waits from the vacancy until it stands for election.
+Millis RangeLeader::electionDelay(bool replacesOwnRecord) const
+{
+    if (replacesOwnRecord)
+        return Millis(0);
+    const auto order = hostsFor(m_context, "keeper/" + m_service, "", HostOrder::fastestFirst);
+    return kElectionStep * (std::find(order.begin(), order.end(), m_context.settings.host) - order.begin());
+}
+
 void RangeLeader::revokeLease()
 {
     m_wantsLease = false;
     m_lease.revoke([] {});
 }
 
-// Writes the leader record under the lease that was just opened. A record that an earlier process of this host left
-// behind is replaced.
-void RangeLeader::writeLeaderRecord()
+// Writes the leader record under the lease that was just opened, in place of the record that is known.
+void RangeLeader::writeLeaderRecord(const std::optional<LeaderEntry>& replaced, bool mayRetry)
 {
-    const LeaderEntry* entry = m_context.directory.leaderOf(m_service);
-    const bool ownHost = entry && isSelf(m_context, entry->host);
-    if (entry && !ownHost)
+    if (replaced && !mayReplace(*replaced))
         return revokeLease();
-    const LeaseId lease = m_lease.id();
-    const Json record = { { "host", m_context.settings.host }, { "incarnation", m_context.incarnation.value },
-        { "lease", lease.value } };
-    const ConditionalWrite write { { { leaderKey(m_service), ownHost ? entry->version : StoreRevision {} } },
-        { { leaderKey(m_service), record.dump(), lease } } };
-    m_context.directory.store().write(write, [this, lease](const WriteResult& result) {
+    m_claim = writerName() + "/" + std::to_string(++m_claimCount);
+    LeaderEntry entry { m_context.settings.host, m_context.incarnation, m_lease.id(), m_claim,
+        inEra(m_lease.era(), {}) };
+    ConditionalWrite write { { { leaderKey(m_service), replaced ? replaced->version : StoreRevision {} } },
+        { { leaderKey(m_service), encode(entry), entry.lease },
+            { claimKey(m_service, m_claim), writerName(), entry.lease } } };
+    if (replaced && !replaced->claim.empty()) {
+        write.expected.push_back({ claimKey(m_service, replaced->claim), replaced->version });
+        write.puts.push_back({ claimKey(m_service, replaced->claim), std::nullopt, kNoLease });
+    }
+    m_context.directory.store().write(write, [this, entry, mayRetry](const WriteResult& result) mutable {
         const auto* written = std::get_if<Written>(&result);
-        if (!written)
-            return revokeLease();
-        m_context.directory.recordLeader(
-            m_service, { m_context.settings.host, m_context.incarnation, lease, written->revision });
-        updateLeadership();
+        if (written && written->era == m_lease.era()) {
+            entry.version = inEra(written->era, written->revision);
+            m_context.directory.recordLeader(m_service, entry);
+            return updateLeadership();
+        }
+        const auto* conflict = std::get_if<WriteConflict>(&result);
+        if (conflict && mayRetry && entry.claim == m_claim && entry.lease == m_lease.id())
+            return onLeaderRecordConflict(*conflict);
+        revokeLease();
     });
 }
 
+// The store has another leader record than this host knew of, or none. After it came back from an older copy, that is
+// where the next try starts.
+void RangeLeader::onLeaderRecordConflict(const WriteConflict& conflict)
+{
+    std::optional<LeaderEntry> current;
+    for (const auto& it : conflict.current) {
+        if (it.key == leaderKey(m_service) && it.text)
+            current = decodeLeaderEntry(*it.text, it.version);
+    }
+    writeLeaderRecord(current, false);
+}
+
 void RangeLeader::onLeaseEnded()
 {
-    if (m_isLeader)
+    if (m_isLeader && eraOf(m_recordRevision) == m_context.directory.storeEra())
         stepDown("the lease has ended");
 }
 
-// Starts with an empty ledger: earlierGrantsEnd() covers the grants of previous leaders. Those that a leader sent just
-// before it stopped are valid for one more TTL.
 void RangeLeader::becomeLeader(StoreRevision version)
 {
+    const bool carriesOver = m_isLeader && m_tableWritten && mayRenew();
     m_isLeader = true;
     m_wantsLease = true;
     m_recordRevision = version;
     m_leaderSince = bootNow();
+    m_unsettledText.clear();
+    m_storedTable.reset();
+    logEvent(EventKind::state, "leading",
+        { { "service", m_service }, { "era", eraOf(version).value }, { "keeper_revision", counterOf(version).value },
+            { "carries_over", carriesOver } });
+    if (carriesOver)
+        carryOver();
+    else
+        startAnew();
+}
+
+// Starts with an empty ledger: earlierGrantsEnd() covers the grants of previous leaders. Those that a leader sent just
+// before it stopped are valid for one more TTL.
+void RangeLeader::startAnew()
+{
+    m_carriesOver = false;
+    m_leaseValidUntil = m_lease.validUntil();
+    m_nextQueryAt = Millis(0);
+    m_nextPlanAt = Millis(0);
     m_tableWritten = false;
     m_rangeStates.clear();
     m_ledger = {};
-    m_nextQueryAt = Millis(0);
-    m_nextPlanAt = Millis(0);
+    m_unknownGrantsEnd = Millis(0);
     m_announcedRevision = {};
     m_announcedRanges.clear();
-    logEvent(EventKind::state, "leading", { { "service", m_service }, { "keeper_revision", version.value } });
+}
+
+// Goes on under the table of the earlier era until it is written in this one. If this host's lease may have ended in
+// that era, another host may have led since. A range that it moved without waiting for this host to stop had accepted
+// its higher fencing token, so an owner that still accepts the old token has the range to itself. Any other move ends
+// after the right of that leader, if this host's own lease ended no longer ago than computed here; otherwise this host
+// starts anew when its old right ends.
+void RangeLeader::carryOver()
+{
+    m_carriesOver = true;
+    m_nextPlanAt = Millis(0);
+    m_needsProof = m_leaseValidUntil < m_eraKnownAt;
+    if (!m_needsProof) {
+        m_rewriteBy = bootNow();
+        return;
+    }
+    const auto& limits = m_context.settings.limits;
+    const Millis orderTimeout(limits.orderTimeoutMs);
+    const Millis provableUntil = m_leaseValidUntil + orderTimeout + longestGrant(m_table.grantTtl) - m_lease.ttl();
+    m_unknownGrantsEnd = std::max(m_unknownGrantsEnd, unknownGrantsEnd());
+    m_rewriteBy = m_leaderSince <= provableUntil ? m_eraKnownAt + renewalInterval(m_table.ranges.size()) + orderTimeout
+                                                 : Millis::max();
+}
+
+// Whether the table is to be written in this era now: all ranges that can be taken over are known.
+bool RangeLeader::isRewriteDue() const
+{
+    if (bootNow() >= m_rewriteBy)
+        return true;
+    return m_rewriteBy != Millis::max() && std::all_of(m_rangeStates.begin(), m_rangeStates.end(), [](const auto& it) {
+        return it.second.renewedInEra;
+    });
 }
 
 void RangeLeader::stepDown(const char* reason)
 {
     logEvent(EventKind::state, "not_leading", { { "service", m_service }, { "reason", reason } });
     m_isLeader = false;
+    m_carriesOver = false;
     m_tableWritten = false;
     m_rangeStates.clear();
     m_unsettledText.clear();
@@ -302,8 +439,9 @@
     if (now < m_nextResignAt)
         return;
     m_nextResignAt = now + kResignRetry;
-    const ConditionalWrite write { { { leaderKey(m_service), m_recordRevision } },
-        { { leaderKey(m_service), std::nullopt, kNoLease } } };
+    const ConditionalWrite write { { { claimKey(m_service, m_claim), m_recordRevision } },
+        { { leaderKey(m_service), std::nullopt, kNoLease },
+            { claimKey(m_service, m_claim), std::nullopt, kNoLease } } };
     m_context.directory.store().write(write, [](const WriteResult&) {}); // the watch reports the result
 }
 
@@ -341,6 +479,10 @@
             range.fence = kFenceOfThisWrite;
             changed = true;
         }
+        if (m_carriesOver && m_needsProof && !state.renewedInEra) {
+            addUnknownOwner(range);
+            changed = true;
+        }
         if (!state.confirmed || !range.previous.empty())
             fixed.insert(range.first.value);
     }
@@ -357,6 +499,7 @@
         assign(ranges, it.first, it.last, it.to);
         changed = true;
     }
+    allowForUnknownGrants(ranges);
     // If there is a write anyway, neighbouring ranges of one owner are joined under this write's fencing token.
     for (std::size_t n = 1; changed && n < ranges.size(); ++n) {
         Range &left = ranges[n - 1], &right = ranges[n];
@@ -366,9 +509,36 @@
             left.fence = right.fence = kFenceOfThisWrite;
     }
     joinNeighbours(ranges);
+    if (m_carriesOver) {
+        changed = true;
+        for (auto& it : ranges)
+            it.fence = kFenceOfThisWrite;
+    }
     return ranges;
 }
 
+// Lets each move wait until the grants of leaders that no table names have expired.
+void RangeLeader::allowForUnknownGrants(std::vector<Range>& ranges) const
+{
+    if (bootNow() >= m_unknownGrantsEnd)
+        return;
+    for (auto& it : ranges) {
+        if (!it.previous.empty() && !hasCleared(it))
+            addUnknownOwner(it);
+    }
+}
+
+// Whether no previous owner of a range of the table can have a valid grant for it any more.
+bool RangeLeader::hasCleared(const Range& range) const
+{
+    const auto state = m_rangeStates.find(keyOf(range));
+    return state != m_rangeStates.end()
+        && std::all_of(range.previous.begin(), range.previous.end(), [&](const InstanceId& instance) {
+               const auto it = state->second.previousOwners.find(instance);
+               return it != state->second.previousOwners.end() && it->second.cleared;
+           });
+}
+
 // Even runs of slots for all eligible upstreams. Empty until their number has settled, because upstreams start together
 // with the hosts.
 std::vector<Range> RangeLeader::initialRanges()
@@ -386,25 +556,45 @@
 {
     if (!m_unsettledText.empty())
         return writeTable({});
-    if (!m_tableWritten) {
-        const StoredTable* stored = m_context.directory.tableOf(m_service);
-        m_tableRevision = stored ? stored->revision : StoreRevision {};
-        loadPreviousLeaders(stored ? *stored : StoredTable {});
-        m_announcedRanges = stored ? stored->table.ranges : std::vector<Range>();
-        m_announcedRevision = m_tableRevision;
-        std::vector<Range> ranges = stored ? stored->table.ranges : initialRanges();
-        if (ranges.empty())
-            return;
-        for (auto& it : ranges)
-            it.fence = kFenceOfThisWrite;
-        return writeTable(std::move(ranges));
-    }
+    if (!m_tableWritten)
+        return writeFirstTable();
+    if (m_carriesOver && !isRewriteDue())
+        return;
     bool changed = false;
     auto ranges = nextRanges(changed);
     if (changed)
         writeTable(std::move(ranges));
 }
 
+// Takes the latest table that this host knows of under new fencing tokens. If it was not written in this era, the store
+// may have lost later ones, and then any upstream may hold any range.
+void RangeLeader::writeFirstTable()
+{
+    const StoredTable* stored = m_context.directory.tableOf(m_service);
+    m_tableRevision = stored ? stored->revision : StoreRevision {};
+    loadPreviousLeaders(stored ? *stored : StoredTable {});
+    m_announcedRanges = stored ? stored->table.ranges : std::vector<Range>();
+    m_announcedRevision = m_tableRevision;
+    std::vector<Range> ranges = stored ? stored->table.ranges : initialRanges();
+    if (ranges.empty())
+        return;
+    const bool isLatest = stored ? eraOf(m_tableRevision) == m_era
+                                 : m_context.settings.firstStart && !m_context.directory.hasEraRisen();
+    m_unknownGrantsEnd = stored ? stored->receivedAt + stored->table.unknownGrantsFor : Millis(0);
+    if (!isLatest) {
+        m_unknownGrantsEnd = std::max(m_unknownGrantsEnd, unknownGrantsEnd());
+        logEvent(EventKind::state, "table_of_earlier_era",
+            { { "service", m_service }, { "era", m_era.value }, { "table_era", eraOf(m_tableRevision).value },
+                { "wait_ms", (m_unknownGrantsEnd - bootNow()).count() } });
+    }
+    for (auto& it : ranges) {
+        it.fence = kFenceOfThisWrite;
+        if (!isLatest)
+            addUnknownOwner(it);
+    }
+    writeTable(std::move(ranges));
+}
+
 // A write whose outcome is unknown is repeated with the same text. At most one of the two can take effect; if the first
 // did, the second fails with a conflict that shows the same text.
 void RangeLeader::writeTable(std::vector<Range> ranges)
@@ -413,8 +603,14 @@
     if (text.empty()) {
         RangeTable table;
         table.writer = writerName() + "/" + std::to_string(++m_writeCount);
+        table.era = eraOf(m_recordRevision);
+        table.unknownGrantsFor = std::max(Millis(0), m_unknownGrantsEnd - bootNow());
         table.ranges = std::move(ranges);
-        table.grantTtl = std::max({ grantTtlFor(table.ranges.size()), m_table.grantTtl, m_earlierGrantTtl });
+        std::set<InstanceId> owners;
+        for (const auto& it : table.ranges)
+            owners.insert(it.owner);
+        const std::size_t pacedRanges = std::min(table.ranges.size(), kMaxPacedRangesPerOwner * owners.size());
+        table.grantTtl = std::max({ grantTtlFor(pacedRanges), m_table.grantTtl, m_earlierGrantTtl });
         for (const auto& [writer, leader] : m_previousLeaders) {
             if (!leader.stoppedAt)
                 table.previousWriters.push_back({ writer, bootNow() - leader.leaseEndedBy });
@@ -422,8 +618,8 @@
         text = encode(table);
     }
     m_writing = true;
-    const ConditionalWrite write { { { leaderKey(m_service), m_recordRevision },
-                                       { tableKey(m_service), m_tableRevision } },
+    const ConditionalWrite write { { { claimKey(m_service, m_claim), m_recordRevision },
+                                       { tableKey(m_service), m_storedTable.value_or(m_tableRevision) } },
         { { tableKey(m_service), text, kNoLease } } };
     m_context.directory.store().write(write, [this, text](const WriteResult& result) { onTableWritten(text, result); });
 }
@@ -435,6 +631,9 @@
         return;
     if (const auto* written = std::get_if<Written>(&result)) {
         m_unsettledText.clear();
+        // The store came back from an older copy before or since: the leader claims its office and writes again.
+        if (written->era != eraOf(m_recordRevision) || written->era != m_context.directory.storeEra())
+            return;
         if (auto table = decodeRangeTable(text, written->revision))
             adoptTable(std::move(*table), written->revision);
         return;
@@ -451,25 +650,33 @@
 void RangeLeader::resolveConflict(const std::string& text, const WriteConflict& conflict)
 {
     m_unsettledText.clear();
-    const KeyChange* leaderRecord = nullptr;
+    if (eraOf(m_recordRevision) != m_context.directory.storeEra())
+        return;
+    const KeyChange* claim = nullptr;
     const KeyChange* tableRecord = nullptr;
     for (const auto& it : conflict.current) {
-        leaderRecord = it.key == leaderKey(m_service) ? &it : leaderRecord;
+        claim = it.key == claimKey(m_service, m_claim) ? &it : claim;
         tableRecord = it.key == tableKey(m_service) ? &it : tableRecord;
     }
-    if (!leaderRecord || leaderRecord->version != m_recordRevision || !leaderRecord->text)
+    if (!claim || counterOf(claim->version) != counterOf(m_recordRevision) || !claim->text)
         return stepDown("the leader record names another host");
-    if (!tableRecord || !tableRecord->text)
-        return stepDown("the table is gone");
+    m_storedTable = tableRecord && tableRecord->text ? tableRecord->version : StoreRevision {};
+    m_nextPlanAt = Millis(0);
+    if (*m_storedTable == StoreRevision {})
+        return;
     auto current = decodeRangeTable(*tableRecord->text, tableRecord->version);
     if (!current)
         return stepDown("the table cannot be read");
     if (*tableRecord->text == text)
         return adoptTable(std::move(*current), tableRecord->version);
+    const StoreRevision revision = revisionOf(*current, tableRecord->version);
+    // An older table, from the copy of the store or from this leader's write in an earlier era, is written over.
+    const bool isOwn = m_tableWritten && current->writer.compare(0, writerName().size(), writerName()) == 0;
+    if (isOwn || revision <= m_tableRevision)
+        return;
     // A previous leader's write that this host had not seen: start over from that table.
-    m_context.directory.recordTable(m_service, { std::move(*current), tableRecord->version, {} });
+    m_context.directory.recordTable(m_service, { std::move(*current), revision, {} });
     m_tableWritten = false;
-    m_nextPlanAt = Millis(0);
 }
 
 // The state that a range starts with after a write, taken over from the range that contained its first slot before. At
@@ -491,7 +698,7 @@
         state = known;
         state.granting = false;
     }
-    state.active = old->owner == range.owner && known.active;
+    state.active = old->owner == range.owner && known.active && !hasUnknownOwner(range);
     state.hasEarlierGrants = known.hasEarlierGrants && !known.confirmed;
     state.handover = known.handover;
     state.previousOwners.clear();
@@ -506,20 +713,23 @@
 }
 
 // Makes a written table the current one.
-void RangeLeader::adoptTable(RangeTable table, StoreRevision revision)
+void RangeLeader::adoptTable(RangeTable table, StoreRevision stored)
 {
     const bool isFirstWrite = !m_tableWritten;
     std::map<RangeKey, RangeState> states;
     for (const auto& it : table.ranges)
         states[keyOf(it)] = carryOverState(it, isFirstWrite);
     m_table = std::move(table);
-    m_tableRevision = revision;
+    m_tableRevision = revisionOf(m_table, stored);
+    m_storedTable.reset();
     m_rangeStates = std::move(states);
     m_tableWritten = true;
-    m_context.directory.recordTable(m_service, { m_table, revision, {} });
+    if (std::exchange(m_carriesOver, false))
+        m_leaseValidUntil = m_lease.validUntil();
+    m_context.directory.recordTable(m_service, { m_table, m_tableRevision, {} });
     logEvent(EventKind::state, "table",
-        { { "service", m_service }, { "revision", revision.value }, { "ranges", m_table.ranges.size() },
-            { "first_of_keeper", isFirstWrite } });
+        { { "service", m_service }, { "era", m_table.era.value }, { "revision", stored.value },
+            { "ranges", m_table.ranges.size() }, { "first_of_keeper", isFirstWrite } });
 }
 
 void RangeLeader::onLoadReport(const LoadReport& report)
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -15,6 +15,11 @@
 //   clearing   each previous owner is asked to release the range, or the leader waits until all its grants have expired
 //   granting   the new owner is sent a grant, with the handover data from the release
 //   active     the grant is renewed until the next table write moves the range
+//
+// When the store comes back from an older copy, the record no longer counts. The leader goes on under its old table as
+// in an outage and is elected again before others. It takes over the ranges of which it knows that no other leader of
+// the earlier era had them (carryOver); any other range, and every range if another host is elected, is granted once
+// all grants of the earlier era have expired.
 namespace pistachiospur {
 
 class RangeLeader {
@@ -23,9 +28,9 @@
 
     void tick();
     void onLoadReport(const LoadReport&);
-    // Another host announced that it is the leader: steps down if its record is newer than the known one, and returns
-    // the reply to send.
-    LeaderSteppedDown onLeaderAnnouncement(const LeaderAnnouncement&);
+    // Another host announced that it is the leader: steps down if its record is newer than the known one. Returns the
+    // reply to send: that this host sends no orders, or its own announcement if its record is the newer one.
+    Message onLeaderAnnouncement(const LeaderAnnouncement&);
     void onLeaderSteppedDown(const HostName& from, const LeaderSteppedDown&);
     // Deletes the leader record, so that another host is elected at once. Until then this host goes on renewing grants.
     void resign();
@@ -52,6 +57,7 @@
         bool fenceOutdated = false; // the owner rejected a grant because it has seen a higher fencing token
         bool granting = false; // a grant is in flight
         bool lastGrantFailed = false;
+        bool renewedInEra = false; // the owner accepted a grant that was sent after this host knew of the present era
         Millis nextGrantAt {};
         Millis grantedUntil {}; // boot clock; the owner's grant is valid at least until then
         bool hasEarlierGrants = false; // grants that a previous leader sent may still be valid
@@ -74,29 +80,42 @@
 
     static RangeKey keyOf(const Range&);
     void updateLeadership();
-    void writeLeaderRecord();
+    bool mayClaimAgain(const LeaderEntry* current) const;
+    bool mayReplace(const LeaderEntry&) const;
+    bool mayOthersClaimAgain() const;
+    Millis electionDelay(bool replacesOwnRecord) const;
+    void writeLeaderRecord(const std::optional<LeaderEntry>& replaced, bool mayRetry);
+    void onLeaderRecordConflict(const WriteConflict&);
     void revokeLease();
     void onLeaseEnded();
     void becomeLeader(StoreRevision);
+    void startAnew();
+    void carryOver();
+    bool isRewriteDue() const;
     void stepDown(const char* reason);
     bool mayWriteTable() const;
     bool mayRenew() const;
+    Millis unknownGrantsEnd() const;
     Millis renewalInterval(std::size_t rangeCount) const;
     Millis grantTtlFor(std::size_t rangeCount) const;
     Millis earlierGrantsEnd() const;
     bool hasWriterEnded(const std::string& writer) const;
     std::string writerName() const;
     void loadPreviousLeaders(const StoredTable&);
+    LeaderAnnouncement announcement() const;
     void checkPreviousLeaders();
 
     void plan();
     std::vector<OwnerCapacity> eligibleOwners() const;
     std::vector<Range> initialRanges();
     std::vector<Range> nextRanges(bool& changed);
+    void allowForUnknownGrants(std::vector<Range>&) const;
+    bool hasCleared(const Range&) const;
+    void writeFirstTable();
     void writeTable(std::vector<Range>);
     void onTableWritten(const std::string& text, const WriteResult&);
     void resolveConflict(const std::string& text, const WriteConflict&);
-    void adoptTable(RangeTable, StoreRevision);
+    void adoptTable(RangeTable, StoreRevision stored);
 
     void sendDueGrants();
     bool isGrantDue(const Range&, RangeState&);
@@ -124,9 +143,20 @@
     bool m_resigned = false;
     Millis m_nextResignAt {};
     Millis m_vacantSince { -1 }; // since when this host may stand for election; negative if it may not
-    StoreRevision m_recordRevision; // of the leader record
+    StoreRevision m_recordRevision; // of the leader record, in the era of the election
+    std::string m_claim; // of the record that this host wrote last
+    std::uint64_t m_claimCount = 0;
+    LeaderEntry m_lastLeader; // the latest that this host has heard of
+    StoreEra m_era; // the latest known
+    Millis m_eraKnownAt {}; // boot clock; since when
     LeaseHolder m_lease; // the leader record is bound to it
+    Millis m_leaseValidUntil {}; // boot clock; of the lease under which this host leads
     StoreRevision m_tableRevision;
+    std::optional<StoreRevision> m_storedTable; // the table that the store has, if it is known to be another
+    bool m_carriesOver = false; // leads in this era, but still under the table and the right of an earlier one
+    bool m_needsProof = false; // another host may have led in the earlier era
+    Millis m_rewriteBy {}; // boot clock; when the table is written in this era, even if proofs are missing
+    Millis m_unknownGrantsEnd {}; // boot clock; until then, grants of leaders that no table names may be valid
     RangeTable m_table;
     bool m_tableWritten = false; // this leader has written its first table
     std::map<RangeKey, RangeState> m_rangeStates;
--- a/src/gateway/lease.cpp
+++ b/src/gateway/lease.cpp
@@ -37,7 +37,7 @@
 {
     const LeaseId lease = m_lease;
     drop();
-    if (lease == kNoLease)
+    if (lease == kNoLease || m_era != m_store.era())
         return onEnd();
     m_store.revokeLease(lease, std::move(onEnd));
 }
@@ -54,6 +54,7 @@
             return m_handlers.onFailure(*error);
         const auto& opened = std::get<LeaseOpened>(result);
         m_lease = opened.lease;
+        m_era = opened.era;
         m_ttl = opened.ttl;
         m_validUntil = sentAt + opened.ttl - kClockMargin;
         m_handlers.onOpened();
@@ -66,6 +67,9 @@
         return;
     if (m_lease == kNoLease)
         return open();
+    // In another era the id may stand for another host's lease.
+    if (m_era != m_store.era())
+        return replace();
     m_callPending = true;
     const Millis sentAt = bootNow();
     m_store.renewLease(m_lease, [this, sentAt, generation = m_generation](const LeaseRenewalResult& result) {
@@ -74,16 +78,27 @@
         m_callPending = false;
         if (const auto* error = std::get_if<StoreError>(&result))
             return m_handlers.onFailure(*error);
-        if (std::holds_alternative<LeaseRenewed>(result)) {
-            m_validUntil = sentAt + m_ttl - kClockMargin;
-            return;
-        }
-        m_lease = kNoLease;
-        m_validUntil = Millis(0);
-        m_handlers.onEnded();
-        if (generation == m_generation)
-            open();
+        const auto* renewed = std::get_if<LeaseRenewed>(&result);
+        if (!renewed || renewed->era != m_era)
+            return replace();
+        m_validUntil = sentAt + m_ttl - kClockMargin;
     });
 }
 
+void LeaseHolder::replace()
+{
+    m_lease = kNoLease;
+    m_validUntil = Millis(0);
+    const std::uint64_t generation = m_generation;
+    m_handlers.onEnded();
+    if (generation == m_generation)
+        open();
+}
+
+void LeaseHolder::followEra()
+{
+    if (m_lease != kNoLease && m_era != m_store.era())
+        renew();
+}
+
 } // namespace pistachiospur
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -100,6 +100,10 @@
 {
     if (bootNow() < previousOwner.nextCheckAt)
         return false;
+    if (instance == kUnknownOwner) {
+        previousOwner.cleared = bootNow() >= m_unknownGrantsEnd;
+        return previousOwner.cleared;
+    }
     const auto counted = previousOwner.released ? Counted::unansweredOnly : Counted::everyGrant;
     const auto validUntil = mayHoldUntil(m_ledger, instance, range.first, range.last, counted);
     const bool ended = m_context.directory.isProvenEnded(instance);
@@ -216,6 +220,7 @@
     }
     state.nextGrantAt = monotonicNow() + renewalInterval(m_table.ranges.size());
     state.confirmed = true;
+    state.renewedInEra |= sent.sentAt >= m_eraKnownAt;
     state.grantedUntil = sent.sentAt + ttl;
     if (!std::exchange(state.active, true))
         logEvent(EventKind::state, "range_active",
@@ -308,6 +313,10 @@
         if (previousOwner != state.previousOwners.end()
             && (previousOwner->second.cleared || previousOwner->second.released))
             continue;
+        if (instance == kUnknownOwner) {
+            longest = std::max(longest, m_unknownGrantsEnd - now);
+            continue;
+        }
         const InstanceEntry* known = m_context.directory.findInstance(instance);
         const auto validUntil = mayHoldUntil(m_ledger, instance, range.first, range.last, Counted::everyGrant);
         const Millis validEnd = validUntil.value_or(now + longestGrant(m_table.grantTtl));
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -110,6 +110,7 @@
     settings.store = reader.endpoint("store");
     reader.oneOf("platform", { "kv" }, "kv");
     settings.processorPercent = std::llround(reader.fractionOr("processor", 1) * 100);
+    settings.firstStart = reader.flagOr("first_start", true);
     settings.limits = readLimits(*document, errors);
     reader.markKnown("limits");
     reader.refuseUnknownFields();
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -57,6 +57,8 @@
     Endpoint admin; // listens for metrics and status requests
     Endpoint store; // address of the platform's store
     std::int64_t processorPercent = 100; // processor time for this process, in percent of one core
+    // The whole site starts for the first time, so no leader can have granted anything before.
+    bool firstStart = true;
     GatewayLimits limits;
 };
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -168,6 +168,7 @@
     HostName host;
     Incarnation incarnation;
     LeaseId lease;
+    std::string claim; // see LeaderEntry
     StoreRevision revision; // of the leader's record in the store
 };
 
--- a/src/ranges/table.cpp
+++ b/src/ranges/table.cpp
@@ -14,7 +14,7 @@
 
 InstanceId decodeInstance(const Json& j) { return { j.at(0).get<std::string>(), { j.at(1).get<std::int64_t>() } }; }
 
-Range decodeRange(const Json& j, StoreRevision revision)
+Range decodeRange(const Json& j, StoreRevision fenceOfWrite)
 {
     Range range;
     range.first = { j.at("first").get<std::uint32_t>() };
@@ -22,7 +22,7 @@
     range.owner = decodeInstance(j.at("owner"));
     range.fence = { j.at("fence").get<std::uint64_t>() };
     if (range.fence == kFenceOfThisWrite)
-        range.fence = revision;
+        range.fence = fenceOfWrite;
     if (j.contains("previous")) {
         for (const auto& it : j["previous"])
             range.previous.push_back(decodeInstance(it));
@@ -46,23 +46,26 @@
     for (const auto& it : table.previousWriters)
         previousWriters.push_back({ it.writer, it.leaseEndedFor.count() });
     return Json {
-        { "writer", table.writer }, { "hold_ms", table.grantTtl.count() }, { "previous_writers", previousWriters },
+        { "writer", table.writer }, { "era", table.era.value }, { "hold_ms", table.grantTtl.count() },
+        { "unknown_grants_ms", table.unknownGrantsFor.count() }, { "previous_writers", previousWriters },
         { "ranges", ranges }
     }.dump();
 }
 
 // The JSON library throws exceptions for missing fields and wrong types. They are caught here.
-std::optional<RangeTable> decodeRangeTable(const std::string& text, StoreRevision revision)
+std::optional<RangeTable> decodeRangeTable(const std::string& text, StoreRevision stored)
 {
     try {
         const Json document = Json::parse(text);
         RangeTable table;
         table.writer = document.at("writer").get<std::string>();
+        table.era = { document.value("era", std::uint64_t(0)) };
+        table.unknownGrantsFor = Millis(document.value("unknown_grants_ms", std::int64_t(0)));
         table.grantTtl = Millis(document.at("hold_ms").get<std::int64_t>());
         for (const auto& it : document.at("previous_writers"))
             table.previousWriters.push_back({ it.at(0).get<std::string>(), Millis(it.at(1).get<std::int64_t>()) });
         for (const auto& it : document.at("ranges"))
-            table.ranges.push_back(decodeRange(it, revision));
+            table.ranges.push_back(decodeRange(it, revisionOf(table, stored)));
         if (!coversEverySlot(table.ranges))
             return std::nullopt;
         return table;
@@ -123,7 +126,8 @@
 
 RangeTable changesBetween(const std::vector<Range>& before, const RangeTable& now)
 {
-    RangeTable changes { now.writer, now.grantTtl, now.previousWriters, {} };
+    RangeTable changes = now;
+    changes.ranges.clear();
     auto old = before.begin();
     for (const auto& it : now.ranges) {
         while (old != before.end() && old->first < it.first)
@@ -151,6 +155,17 @@
     return now;
 }
 
+bool hasUnknownOwner(const Range& range)
+{
+    return std::find(range.previous.begin(), range.previous.end(), kUnknownOwner) != range.previous.end();
+}
+
+void addUnknownOwner(Range& range)
+{
+    if (!hasUnknownOwner(range))
+        range.previous.push_back(kUnknownOwner);
+}
+
 void joinNeighbours(std::vector<Range>& ranges)
 {
     std::vector<Range> joined;
--- a/src/ranges/table.h
+++ b/src/ranges/table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pistachiospur/era.h"
 #include "upstream/instance.h"
 
 #include <optional>
@@ -18,7 +19,7 @@
     SlotId first;
     SlotId last; // inclusive
     InstanceId owner;
-    StoreRevision fence; // fencing token of its grants: the revision of the write that assigned it to the owner
+    StoreRevision fence; // fencing token of its grants: era and revision of the write that assigned it to the owner
     // Previous owners that may still hold the range. The owner gets no grant until each of them has released it or its
     // grants have expired.
     std::vector<InstanceId> previous;
@@ -30,6 +31,9 @@
     }
 };
 
+// Stands in `previous` for any upstream: a leader that no table names may have granted the range to it.
+inline const InstanceId kUnknownOwner {};
+
 // A previous leader that wrote the table and may still be renewing grants.
 struct PreviousWriter {
     std::string writer;
@@ -50,20 +54,29 @@
     Millis grantTtl {}; // TTL of grants under this table; at least that of the table before
     std::vector<PreviousWriter> previousWriters;
     std::vector<Range> ranges; // sorted by slot, without gaps
+    StoreEra era {}; // in which its writer was elected; a table of an earlier era may not be the latest
+    // For how long, from the write, grants may be valid that neither this table nor its writer knows of. The store lost
+    // the table of their leader.
+    Millis unknownGrantsFor {};
 
     friend bool operator==(const RangeTable& a, const RangeTable& b)
     {
-        return std::tie(a.writer, a.grantTtl, a.previousWriters, a.ranges)
-            == std::tie(b.writer, b.grantTtl, b.previousWriters, b.ranges);
+        return std::tie(a.writer, a.grantTtl, a.previousWriters, a.ranges, a.era, a.unknownGrantsFor)
+            == std::tie(b.writer, b.grantTtl, b.previousWriters, b.ranges, b.era, b.unknownGrantsFor);
     }
 };
 
+// The revision of a table in the order over all eras. A copy of the store keeps the counters of its keys, so the era is
+// that of the table, not that of the read.
+constexpr StoreRevision revisionOf(const RangeTable& table, StoreRevision stored) { return inEra(table.era, stored); }
+
 // Placeholder for the store revision that the write of this table will get.
 constexpr StoreRevision kFenceOfThisWrite {};
 
 std::string encode(const RangeTable&);
-// Nothing if the text is not a complete table. Replaces kFenceOfThisWrite by the revision.
-std::optional<RangeTable> decodeRangeTable(const std::string& text, StoreRevision);
+// Nothing if the text is not a complete table. `stored` is the revision of its key in the store. Replaces
+// kFenceOfThisWrite by the table's revision.
+std::optional<RangeTable> decodeRangeTable(const std::string& text, StoreRevision stored);
 
 // The range that contains the slot; null if the table is empty.
 const Range* findRange(const RangeTable&, SlotId);
@@ -78,6 +91,9 @@
 // Applies such changes to the table that they are based on. Copies all members of `changes`, not only the ranges,
 // because a host that becomes leader needs the writers named in the table.
 RangeTable applyChanges(const RangeTable& before, const RangeTable& changes);
+bool hasUnknownOwner(const Range&);
+// Adds kUnknownOwner to the `previous` of a range if it is not there.
+void addUnknownOwner(Range&);
 // Joins neighbouring ranges with the same owner and fencing token and no previous owners.
 void joinNeighbours(std::vector<Range>&);
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -36,6 +36,7 @@
 
 struct Written {
     StoreRevision revision;
+    StoreEra era {}; // in which it was written
 };
 // An expected version did not match, so nothing was written. `current` holds the present values of the keys if the
 // store returns them.
@@ -68,8 +69,11 @@
 struct LeaseOpened {
     LeaseId lease;
     Millis ttl {}; // the store restarts it when a renewal arrives
+    StoreEra era {}; // the lease's id means nothing in any other
+};
+struct LeaseRenewed {
+    StoreEra era {};
 };
-struct LeaseRenewed { };
 // The lease has expired or was revoked, and its keys are deleted.
 struct LeaseExpired { };
 
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -71,13 +71,14 @@
 
 RC_BOOST_PROP(aTableSurvivesItsText, ())
 {
-    RangeTable table { "host#1/2", Millis(2500), { { "host#0/7", Millis(5) } }, randomRanges(5) };
+    RangeTable table { "host#1/2", Millis(2500), { { "host#0/7", Millis(5) } }, randomRanges(5),
+        { *rc::gen::inRange<std::uint64_t>(0, 9) }, Millis(*rc::gen::inRange(0, 9000)) };
     const StoreRevision revision { *rc::gen::inRange<std::uint64_t>(1, 1000000) };
     const auto decoded = decodeRangeTable(encode(table), revision);
     RC_ASSERT(decoded.has_value());
     for (auto& it : table.ranges) {
         if (it.fence == kFenceOfThisWrite)
-            it.fence = revision;
+            it.fence = revisionOf(table, revision);
     }
     RC_ASSERT(*decoded == table);
 }
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -112,4 +112,34 @@
     BOOST_TEST(site.fencesRise());
 }
 
+// Guards against keys without an owner, or with two, after a restore that the leader lives through: what it knows of
+// the grants still holds, although the store knows less.
+BOOST_AUTO_TEST_CASE(leaderThatLivesThroughARestoreKeepsItsTable)
+{
+    RestoredSite site;
+    site.store.saveCopy();
+    site.moveSlot();
+    RangeUpstream* owner = site.holder(kSlot);
+    site.store.fault = StoreFault::silent;
+    site.watchSlotsFor(Millis(600));
+    site.store.fault = StoreFault::none;
+    site.store.restoreCopy(true);
+    BOOST_REQUIRE(site.holder(kSlot) == owner);
+    const auto table = [&] { return Json::parse(site.store.value("pistachiospur/ranges/keyed"), nullptr, false); };
+    bool hadNoHolder = false;
+    BOOST_TEST(site.watchSlotsUntil([&] {
+        hadNoHolder |= site.holderCounts().first == 0;
+        return table().is_object() && table().value("era", 0) == 2;
+    }));
+    // Longer than any grant.
+    const Millis end = monotonicNow() + Millis(4000);
+    site.watchSlotsUntil([&] {
+        hadNoHolder |= site.holderCounts().first == 0;
+        return monotonicNow() >= end;
+    });
+    BOOST_TEST(!site.hadTwoHolders);
+    BOOST_TEST(!hadNoHolder);
+    BOOST_TEST(site.fencesRise());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
