CONFIG: what the store says in a later era supersedes what a host knows

What callers saw: after the store had come back from an older copy, a confirmed configuration was not in force, routes that had been added got 404, upstreams that had left still got requests, and a third of all requests were refused.

Cause: hosts ordered what they read by the store's revision alone. After the return every read bore a lower revision than the known one and was thrown away; the watch got 410, which led to the next read without a pause, until the revisions had grown past the old ones.

Ruled out: the pause alone, since it only bounds the calls.

Why it works: the store client moves each revision into the era of its answer, so the merge of reads, watches and relays orders by era first, without a change of its own. Pages of two eras, answers of an earlier one and polls across eras bring nothing. What a copy cannot take back is kept: the configuration in force, departures, ended processes, entries that were deleted unless the upstream's heartbeat count shows that it lives. Entries that are missing count as after an outage. The five tests in tests/directory_test.cpp guard these; without the rule for older copies three of them fail by construction (not run with the guards taken out).

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -48,6 +48,19 @@
     return text.compare(0, prefix.size(), prefix) == 0;
 }
 
+// Whether an entry that is read in a later era than the known one is older than that: it is of an earlier process, or
+// its upstream has said since that it leaves, or has left. An upstream that lives writes its entry again, with a higher
+// heartbeat count.
+bool isFromOlderCopy(const InstanceEntry& known, const UpstreamInstance& read, StoreRevision version)
+{
+    if (eraOf(version) <= eraOf(known.version))
+        return false;
+    if (read.id != known.instance.id)
+        return read.id.startTime < known.instance.id.startTime;
+    return (known.instance.draining && !read.draining)
+        || (known.entryGone && read.heartbeats <= known.instance.heartbeats);
+}
+
 Json parse(const KeyChange& change) { return change.text ? Json::parse(*change.text, nullptr, false) : Json(); }
 
 } // namespace
@@ -134,7 +147,7 @@
             { { "revision", snapshot.revision.value }, { "known", m_known.completeTo.value } });
     if (m_known.completeTo == StoreRevision {})
         m_firstEra = m_store->era();
-    noteOutage();
+    noteOutage(snapshot.revision);
     takeTables(snapshot);
     SnapshotMerge merge = mergeSnapshot(m_known, std::move(snapshot));
     for (const auto& change : merge.changes)
@@ -165,7 +178,11 @@
                 return;
             if (error.historyLost) {
                 logEvent(EventKind::state, "store_history_lost", { { "after", m_known.completeTo.value } });
-                readAll();
+                const Millis now = monotonicNow();
+                if (now - std::exchange(m_historyLostAt, now) < kStoreRetryDelay)
+                    m_readRetryTimer.once(kStoreRetryDelay);
+                else
+                    readAll();
                 return;
             }
             onStoreFailure("watch", error);
@@ -201,13 +218,15 @@
     applyBatch(batch);
 }
 
-// Decides, when the store answers again, whether entries may have expired because it was away. A failed call alone is
-// no evidence: then other hosts still confirm this host's copy.
-void Directory::noteOutage()
+// Decides, when the store answers again, whether entries of living upstreams may be missing: they expired while it was
+// away, or it lost them. A failed call alone is no evidence: then other hosts still confirm this host's copy.
+void Directory::noteOutage(StoreRevision read)
 {
     const Millis away = m_readStartedAt - m_confirmedAt;
     const bool isFirstRead = m_known.completeTo == StoreRevision {};
-    if (isFirstRead || m_storeReachable || away < kMinOutageHeartbeats * Millis(m_settings.limits.upstreamHeartbeatMs))
+    const bool wasAway
+        = !m_storeReachable && away >= kMinOutageHeartbeats * Millis(m_settings.limits.upstreamHeartbeatMs);
+    if (isFirstRead || (!wasAway && eraOf(read) <= eraOf(m_known.completeTo)))
         return;
     const Millis grace = std::min(kEntryReturnTime, Millis(m_settings.limits.drainMs) - kDrainMargin);
     m_lapseGraceEnd = monotonicNow() + grace;
@@ -361,7 +380,6 @@
 
 void Directory::applyUpstream(const UpstreamName& name, const KeyChange& change)
 {
-    const Millis now = monotonicNow();
     std::optional<UpstreamInstance> instance;
     if (change.text) {
         instance = leaf::try_handle_all(
@@ -377,27 +395,28 @@
             },
             []() -> std::optional<UpstreamInstance> { return std::nullopt; });
     }
+    if (!instance)
+        return applyUpstreamGone(name, change);
+    if (m_endedInstances.count(instance->id))
+        return;
+    const Millis now = monotonicNow();
     const auto known = m_instances.find(name);
-    if (!instance) {
-        if (known == m_instances.end() || known->second.entryGone)
-            return;
-        const bool mayHaveLapsed = !change.text && now < m_lapseGraceEnd;
-        known->second.entryGone = true;
-        m_nextRemovalAt = Millis(0);
-        if (!known->second.noNewWorkFrom)
-            known->second.noNewWorkFrom = mayHaveLapsed ? m_lapseGraceEnd : now;
-        logEvent(EventKind::state, "upstream_entry_gone",
-            { { "upstream", name }, { "revision", change.version.value }, { "perhaps_lapsed", mayHaveLapsed } });
+    const bool isKnown = known != m_instances.end() && known->second.instance.id == instance->id;
+    if (known != m_instances.end() && isFromOlderCopy(known->second, *instance, change.version)) {
+        logEvent(EventKind::state, "upstream_entry_outdated",
+            { { "upstream", name }, { "born", instance->id.startTime.value },
+                { "known_born", known->second.instance.id.startTime.value }, { "draining", instance->draining } });
         return;
     }
-    if (m_endedInstances.count(instance->id))
-        return;
-    InstanceEntry entry { *instance, std::nullopt, false };
+    InstanceEntry entry { *instance, std::nullopt, false, change.version };
     if (instance->draining)
-        entry.noNewWorkFrom = known != m_instances.end() && known->second.instance.id == instance->id
-                && known->second.noNewWorkFrom.value_or(now) <= now
+        entry.noNewWorkFrom = isKnown && known->second.noNewWorkFrom.value_or(now) <= now
             ? known->second.noNewWorkFrom.value_or(now)
             : now;
+    if (isKnown && known->second.instance == *instance && !known->second.entryGone) {
+        known->second = std::move(entry);
+        return;
+    }
     logEvent(EventKind::state, "upstream",
         { { "upstream", name }, { "born", instance->id.startTime.value }, { "service", instance->service },
             { "endpoint", instance->endpoint.text() }, { "data_centre", instance->dataCentre },
@@ -405,6 +424,22 @@
     m_instances[name] = std::move(entry);
 }
 
+void Directory::applyUpstreamGone(const UpstreamName& name, const KeyChange& change)
+{
+    const auto known = m_instances.find(name);
+    if (known == m_instances.end() || known->second.entryGone)
+        return;
+    const Millis now = monotonicNow();
+    const bool mayHaveLapsed = !change.text && now < m_lapseGraceEnd;
+    known->second.entryGone = true;
+    known->second.version = change.version;
+    m_nextRemovalAt = Millis(0);
+    if (!known->second.noNewWorkFrom)
+        known->second.noNewWorkFrom = mayHaveLapsed ? m_lapseGraceEnd : now;
+    logEvent(EventKind::state, "upstream_entry_gone",
+        { { "upstream", name }, { "revision", change.version.value }, { "perhaps_lapsed", mayHaveLapsed } });
+}
+
 void Directory::applyHost(const HostName& name, const KeyChange& change)
 {
     const Json record = parse(change);
@@ -426,6 +461,9 @@
     entry.leaving = record.value("leaving", false);
     entry.version = inEra({ record.value("era", std::uint64_t(0)) }, change.version);
     const auto known = m_hosts.find(name);
+    // An older entry, from an older copy of the store: its host writes it again.
+    if (known != m_hosts.end() && !known->second.entryGoneSince && entry.version < known->second.version)
+        return;
     entry.leaving |= known != m_hosts.end() && known->second.leaving && known->second.incarnation == entry.incarnation;
     logEvent(EventKind::state, "host",
         { { "peer", name }, { "incarnation", entry.incarnation.value }, { "leaving", entry.leaving } });
@@ -445,9 +483,7 @@
 
 void Directory::recordLeader(const ServiceName& service, LeaderEntry entry)
 {
-    const auto known = m_leaders.find(service);
-    const bool isOfLaterEra = known != m_leaders.end() && eraOf(known->second.version) < eraOf(entry.version);
-    if (mergeRecord(m_known, leaderKey(service), counterOf(entry.version)) || isOfLaterEra)
+    if (mergeRecord(m_known, leaderKey(service), entry.version))
         setLeader(service, std::move(entry));
 }
 
@@ -467,10 +503,9 @@
     const ServiceName service = change.key.substr(kTablePrefix.size());
     if (!change.text) {
         const auto known = m_tables.find(service);
-        const StoreRevision deletedAt = inEra(m_store->era(), change.version);
-        if (known != m_tables.end() && known->second.revision <= deletedAt)
+        if (known != m_tables.end() && known->second.revision <= change.version)
             m_tables.erase(known);
-        m_tableDeletions[service] = std::max(m_tableDeletions[service], deletedAt);
+        m_tableDeletions[service] = std::max(m_tableDeletions[service], change.version);
         return;
     }
     auto table = decodeRangeTable(*change.text, change.version);
@@ -549,6 +584,12 @@
 {
     const Millis now = monotonicNow();
     bool changed = false;
+    m_lease.followEra();
+    const bool isOfEarlierEra = m_known.completeTo != StoreRevision {} && eraOf(m_known.completeTo) < m_store->era();
+    if (isOfEarlierEra && m_watching && !m_reading && now - m_readStartedAt >= kStoreRetryDelay) {
+        m_store->stopWatch();
+        readAll();
+    }
     if (!m_hostEntryWritten && !m_hostEntryWritePending && now >= m_nextHostEntryWriteAt) {
         m_nextHostEntryWriteAt = now + kStoreRetryDelay;
         writeHostEntry();
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -46,6 +46,7 @@
     // Monotonic clock: the instance gets no new work from then on, because it drains or its entry was deleted.
     std::optional<Millis> noNewWorkFrom;
     bool entryGone = false; // its entry was deleted, or the instance is proven to have ended
+    StoreRevision version; // of the change of its entry that this host knows
 };
 
 std::string leaderKey(const ServiceName&);
@@ -121,7 +122,8 @@
     bool hasHostEntry() const { return m_hostEntryWritten; }
     void recordStoreFailure(const char* call, const StoreError& error) { onStoreFailure(call, error); }
     bool isStoreReachable() const { return m_storeReachable; }
-    StoreEra storeEra() const { return m_store->era(); }
+    // The latest era that this host knows of.
+    StoreEra storeEra() const { return std::max(m_store->era(), eraOf(m_known.completeTo)); }
     // Whether the store has come back from an older copy since this process first read it.
     bool hasEraRisen() const { return m_firstEra != storeEra(); }
     // When this host's copy is last known to have held every change of the store, on the monotonic clock.
@@ -134,7 +136,7 @@
     void readAll();
     void readConfiguration();
     void onReadResult(ReadResult);
-    void noteOutage();
+    void noteOutage(StoreRevision read);
     void confirm(Millis at);
     void startWatch();
     void onWatchBatch(const ChangeBatch&);
@@ -144,6 +146,7 @@
     void applyConfiguration(const std::string& text);
     void logFaults(const std::vector<FieldError>&);
     void applyUpstream(const UpstreamName&, const KeyChange&);
+    void applyUpstreamGone(const UpstreamName&, const KeyChange&);
     void applyHost(const HostName&, const KeyChange&);
     void applyLeader(const ServiceName&, const KeyChange&);
     void setLeader(const ServiceName&, LeaderEntry);
@@ -166,6 +169,7 @@
     Millis m_confirmedAt { -100000 };
     Millis m_watchAnsweredAt { -100000 };
     Millis m_watchFailedAt { -100000 };
+    Millis m_historyLostAt { -100000 };
 
     std::optional<RoutingTable> m_routes;
     std::set<std::string> m_loggedFaults;
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -318,8 +318,8 @@
     }
     m_context.directory.store().write(write, [this, entry, mayRetry](const WriteResult& result) mutable {
         const auto* written = std::get_if<Written>(&result);
-        if (written && written->era == m_lease.era()) {
-            entry.version = inEra(written->era, written->revision);
+        if (written && eraOf(written->revision) == m_lease.era()) {
+            entry.version = written->revision;
             m_context.directory.recordLeader(m_service, entry);
             return updateLeadership();
         }
@@ -632,7 +632,8 @@
     if (const auto* written = std::get_if<Written>(&result)) {
         m_unsettledText.clear();
         // The store came back from an older copy before or since: the leader claims its office and writes again.
-        if (written->era != eraOf(m_recordRevision) || written->era != m_context.directory.storeEra())
+        const StoreEra era = eraOf(written->revision);
+        if (era != eraOf(m_recordRevision) || era != m_context.directory.storeEra())
             return;
         if (auto table = decodeRangeTable(text, written->revision))
             adoptTable(std::move(*table), written->revision);
@@ -658,7 +659,7 @@
         claim = it.key == claimKey(m_service, m_claim) ? &it : claim;
         tableRecord = it.key == tableKey(m_service) ? &it : tableRecord;
     }
-    if (!claim || counterOf(claim->version) != counterOf(m_recordRevision) || !claim->text)
+    if (!claim || claim->version != m_recordRevision || !claim->text)
         return stepDown("the leader record names another host");
     m_storedTable = tableRecord && tableRecord->text ? tableRecord->version : StoreRevision {};
     m_nextPlanAt = Millis(0);
@@ -728,7 +729,7 @@
         m_leaseValidUntil = m_lease.validUntil();
     m_context.directory.recordTable(m_service, { m_table, m_tableRevision, {} });
     logEvent(EventKind::state, "table",
-        { { "service", m_service }, { "era", m_table.era.value }, { "revision", stored.value },
+        { { "service", m_service }, { "era", m_table.era.value }, { "revision", counterOf(stored).value },
             { "ranges", m_table.ranges.size() }, { "first_of_keeper", isFirstWrite } });
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -35,8 +35,7 @@
 };
 
 struct Written {
-    StoreRevision revision;
-    StoreEra era {}; // in which it was written
+    StoreRevision revision; // in the era in which it was written
 };
 // An expected version did not match, so nothing was written. `current` holds the present values of the keys if the
 // store returns them.
--- a/src/upstream/instance.h
+++ b/src/upstream/instance.h
@@ -31,6 +31,7 @@
     DataCentreName dataCentre;
     unsigned slots = 1; // max requests that the upstream runs at once; not slots of the key space
     bool draining = false; // the upstream is shutting down and must not get new requests
+    std::uint64_t heartbeats = 0; // that it has sent by its own count; not part of equality
     Millis warmUpLeft {}; // remaining time in which the upstream is slow after its start; not part of equality
 
     friend bool operator==(const UpstreamInstance& a, const UpstreamInstance& b)
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/leaf/result.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <sstream>
+
 using namespace pistachiospur;
 
 namespace {
@@ -58,7 +60,11 @@
         UpstreamInstance instance;
         instance.id.name = name;
         instance.service = "pool";
-        instance.draining = text == "draining";
+        // A number is the start of the process, then its heartbeats: "up 5 3".
+        std::istringstream words(text);
+        std::string state;
+        words >> state >> instance.id.startTime.value >> instance.heartbeats;
+        instance.draining = state == "draining";
         return instance;
     };
     adapter.decodeConfiguration = [](const std::string& text) -> boost::leaf::result<RoutingTable> {
@@ -186,4 +192,88 @@
     BOOST_TEST(host.directory.revision().value == 100u);
 }
 
+namespace {
+
+constexpr StoreEra kFirstEra { 1 }, kSecondEra { 2 };
+
+StoreRevision inFirst(std::uint64_t revision) { return inEra(kFirstEra, { revision }); }
+StoreRevision inSecond(std::uint64_t revision) { return inEra(kSecondEra, { revision }); }
+
+// A host whose store comes back from an older copy: its revisions are lower than the known ones.
+struct RestoredFixture : Fixture {
+    explicit RestoredFixture(const std::string& text)
+    {
+        store.currentEra = kFirstEra;
+        store.answerLastRead(Snapshot { inFirst(100), { { upstreamKey, { text, inFirst(90) } } } });
+        directory.setWatching(false);
+    }
+
+    void relayInFirst(std::uint64_t to, std::optional<std::string> text)
+    {
+        const ChangeBatch batch { inFirst(100), inFirst(to), { { upstreamKey, std::move(text), inFirst(to) } } };
+        directory.applyRelayedBatch(batch, Millis(0), Millis(0));
+    }
+
+    void restore(std::map<std::string, StoredValue> values)
+    {
+        store.currentEra = kSecondEra;
+        directory.setWatching(true);
+        store.answerLastRead(Snapshot { inSecond(60), std::move(values) });
+    }
+};
+
+} // namespace
+
+// Guards against requests to an upstream that leaves: an older copy of the store names it as ready.
+BOOST_AUTO_TEST_CASE(departureIsNotUnlearnedWhenTheStoreComesBackFromAnOlderCopy)
+{
+    RestoredFixture host("up 5 3");
+    host.relayInFirst(110, "draining 5 3");
+    host.restore({ { host.upstreamKey, { "up 5 3", inSecond(50) } } });
+    BOOST_TEST(host.directory.revision() == inSecond(60));
+    BOOST_TEST(!host.isInUse("u1"));
+}
+
+// Guards against requests to an upstream that has left: an older copy of the store still has its entry.
+BOOST_AUTO_TEST_CASE(upstreamThatLeftStaysGoneUntilAHigherHeartbeatCountShowsThatItLives)
+{
+    for (const bool lives : { false, true }) {
+        RestoredFixture host("up 5 3");
+        host.relayInFirst(110, std::nullopt);
+        host.restore({ { host.upstreamKey, { lives ? "up 5 9" : "up 5 3", inSecond(50) } } });
+        BOOST_TEST(host.isInUse("u1") == lives);
+    }
+}
+
+// Guards against an upstream whose process has ended and that is in use again in place of its next one.
+BOOST_AUTO_TEST_CASE(earlierProcessOfAnUpstreamDoesNotComeBackWithAnOlderCopy)
+{
+    RestoredFixture host("up 7 1");
+    host.restore({ { host.upstreamKey, { "up 5 3", inSecond(50) } } });
+    BOOST_TEST(host.directory.instances().at("u1").instance.id.startTime.value == 7);
+}
+
+// Guards against living upstreams without work: the store has lost their entries for a moment.
+BOOST_AUTO_TEST_CASE(upstreamWhoseEntryTheStoreLostStaysInUseForAWhile)
+{
+    RestoredFixture host("up 5 3");
+    host.restore({});
+    BOOST_TEST(host.isInUse("u1"));
+    BOOST_TEST(host.directory.lapseGrace().count() > 0);
+}
+
+// Guards against a configuration that comes back older.
+BOOST_AUTO_TEST_CASE(configurationInForceIsNotUnlearnedWhenTheStoreComesBackFromAnOlderCopy)
+{
+    Fixture host;
+    const std::string key = host.adapter.configurationKey;
+    host.store.answerLastRead(Snapshot { inFirst(100), { { key, { "7", inFirst(90) } } } });
+    host.directory.setWatching(false);
+    host.directory.setWatching(true);
+    host.store.answerLastRead(Snapshot { inSecond(60), { { key, { "5", inSecond(50) } } } });
+    BOOST_TEST(host.directory.routes()->version.value == 7u);
+    host.store.onBatch(ChangeBatch { inSecond(60), inSecond(61), { { key, "8", inSecond(61) } } });
+    BOOST_TEST(host.directory.routes()->version.value == 8u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
