OWNER: a later start under an upstream's name is no proof that it holds nothing

What callers saw: two upstreams held the same slots. An upstream started again under its id and address while it was cut off from the store, so that its entry still named the earlier start. It accepted the leader's renewals, which carry the id alone. As soon as its new entry arrived, its slots were granted to others while it held them.

Cause: Directory::isProvenEnded() took the later start for proof that the earlier instance had ended, which is true, and clearPreviousOwner() took that for proof that none of its grants was in force, which is not: orders are addressed to the name and are booked on the instance that the entry names. In-flight and unanswered grants and those of earlier leaders were passed over in the same way.

Why it works: the ledger counts grants by the upstream's name. The later process is asked to release what the table gave to the earlier one; without its answer all grants to the name must have expired, those of earlier leaders included, because a new process has forgotten the fencing tokens that kept them out. A move to the later process itself needs no wait, since the one process under that name holds the slots before and after. Only another upstream's answer at the address still proves that nothing sent there is in force.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -556,6 +556,12 @@
     return it == m_instances.end() || it->second.instance.id != id ? nullptr : &it->second;
 }
 
+const InstanceEntry* Directory::findSameOrLaterInstance(const InstanceId& id) const
+{
+    const auto it = m_instances.find(id.name);
+    return it == m_instances.end() || it->second.instance.id.startTime < id.startTime ? nullptr : &it->second;
+}
+
 void Directory::recordEnded(const InstanceId& id)
 {
     if (!m_endedInstances.insert(id).second)
@@ -572,14 +578,6 @@
     m_onChange();
 }
 
-bool Directory::isProvenEnded(const InstanceId& id) const
-{
-    if (m_endedInstances.count(id))
-        return true;
-    const auto it = m_instances.find(id.name);
-    return it != m_instances.end() && id.startTime < it->second.instance.id.startTime;
-}
-
 void Directory::tick()
 {
     const Millis now = monotonicNow();
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -113,8 +113,10 @@
     const InstanceEntry* findInstance(const InstanceId&) const;
     // Records that an instance is proven to have ended: another upstream answers at its address.
     void recordEnded(const InstanceId&);
-    // True when an instance is recorded as ended, or a later instance has the same upstream name.
-    bool isProvenEnded(const InstanceId&) const;
+    // True when an instance is recorded as ended.
+    bool isProvenEnded(const InstanceId& id) const { return m_endedInstances.count(id) > 0; }
+    // The entry of an instance, or of a later one with the same upstream name; null when neither is known.
+    const InstanceEntry* findSameOrLaterInstance(const InstanceId&) const;
 
     LeasedStore& store() { return *m_store; }
     const LeasedStore& store() const { return *m_store; }
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -124,7 +124,7 @@
     bool clearPreviousOwners(const Range&, RangeState&);
     bool clearPreviousOwner(const Range&, const InstanceId&, PreviousOwner&, bool hasEarlierGrants);
     std::string orderText(OrderId) const;
-    void sendRelease(const Range&, PreviousOwner&, const UpstreamInstance&);
+    void sendRelease(const Range&, const InstanceId&, PreviousOwner&, const UpstreamInstance&);
     void onRelease(const RangeKey&, const InstanceId&, const ReleaseResult&);
     void sendGrant(const Range&, RangeState&, const UpstreamInstance&);
     void onGrant(const Range&, const SentGrant&, OrderVerdict);
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -93,8 +93,9 @@
     return allCleared;
 }
 
-// A previous owner is cleared if its instance has ended, or once every grant counted against it has expired. After an
-// answered release only unanswered grants count.
+// A previous owner is cleared if another upstream answers at its address, or once every grant counted against it has
+// expired. After an answered release only unanswered grants count. That a later process has started under its name does
+// not clear it, unless the range goes to that process: orders are addressed to the name, so it may hold the range.
 bool RangeLeader::clearPreviousOwner(
     const Range& range, const InstanceId& instance, PreviousOwner& previousOwner, bool hasEarlierGrants)
 {
@@ -105,27 +106,31 @@
         return previousOwner.cleared;
     }
     const auto counted = previousOwner.released ? Counted::unansweredOnly : Counted::everyGrant;
-    const auto validUntil = mayHoldUntil(m_ledger, instance, range.first, range.last, counted);
+    const auto validUntil = mayHoldUntil(m_ledger, instance.name, range.first, range.last, counted);
+    const InstanceEntry* known = m_context.directory.findSameOrLaterInstance(instance);
+    // A process that started again has forgotten the fencing tokens that kept out the orders of earlier leaders.
+    const bool hasRestarted = known && known->instance.id != instance;
+    const Millis earlierEnd = hasEarlierGrants || hasRestarted ? earlierGrantsEnd() : Millis(0);
     const bool ended = m_context.directory.isProvenEnded(instance);
-    const Millis earlierEnd = hasEarlierGrants ? earlierGrantsEnd() : Millis(0);
-    if (ended || (validUntil && bootNow() >= std::max(*validUntil, earlierEnd))) {
+    const bool returns = isLaterProcess(range.owner, instance);
+    if (ended || returns || (validUntil && bootNow() >= std::max(*validUntil, earlierEnd))) {
         previousOwner.cleared = true;
         logEvent(EventKind::state, "range_cleared",
             { { "service", m_service }, { "first", range.first.value }, { "last", range.last.value },
-                { "previous", instance.name },
+                { "previous", instance.name }, { "previous_born", instance.startTime.value },
                 { "how",
-                    ended                        ? "restarted"
+                    ended                        ? "ended"
+                        : returns                ? "returns"
                         : previousOwner.released ? "released"
                                                  : "expired" } });
         return true;
     }
-    const InstanceEntry* known = m_context.directory.findInstance(instance);
     // A release must not be sent while a grant is in flight, because the grant could arrive after it. It also waits
     // until the other hosts have the update on the move and send this upstream no more requests for the range.
     const bool announced = m_announcedRevision == m_tableRevision && monotonicNow() >= m_announcedAt + kAnnounceDelay;
     if (validUntil && known && announced && !previousOwner.released && !previousOwner.releasing
         && monotonicNow() >= previousOwner.nextReleaseAt)
-        sendRelease(range, previousOwner, known->instance);
+        sendRelease(range, instance, previousOwner, known->instance);
     if (validUntil && (previousOwner.released || previousOwner.releasing || !known))
         previousOwner.nextCheckAt = std::min(bootNow() + kClearCheckInterval, *validUntil);
     return false;
@@ -137,12 +142,14 @@
     return std::to_string(m_context.incarnation.value) + "-" + std::to_string(order);
 }
 
-void RangeLeader::sendRelease(const Range& range, PreviousOwner& previousOwner, const UpstreamInstance& upstream)
+// Asks for a range that an instance may hold. `upstream` is that instance or a later process under its name.
+void RangeLeader::sendRelease(
+    const Range& range, const InstanceId& instance, PreviousOwner& previousOwner, const UpstreamInstance& upstream)
 {
     previousOwner.releasing = true;
     const ReleaseOrder order { range.first, range.last, range.fence, orderText(m_nextOrder++) };
     m_context.http.start(m_context.adapter.releaseCall(upstream, order),
-        [this, key = keyOf(range), instance = upstream.id, id = order.id](
+        [this, key = keyOf(range), instance, id = order.id](
             const HttpOutcome& outcome) { onRelease(key, instance, m_context.adapter.interpretRelease(outcome, id)); });
 }
 
@@ -317,8 +324,8 @@
             longest = std::max(longest, m_unknownGrantsEnd - now);
             continue;
         }
-        const InstanceEntry* known = m_context.directory.findInstance(instance);
-        const auto validUntil = mayHoldUntil(m_ledger, instance, range.first, range.last, Counted::everyGrant);
+        const InstanceEntry* known = m_context.directory.findSameOrLaterInstance(instance);
+        const auto validUntil = mayHoldUntil(m_ledger, instance.name, range.first, range.last, Counted::everyGrant);
         const Millis validEnd = validUntil.value_or(now + longestGrant(m_table.grantTtl));
         const bool reachable = known && !known->entryGone;
         longest = std::max({ longest, kReleaseEstimate, reachable ? Millis(0) : validEnd - now });
--- a/src/ranges/ledger.cpp
+++ b/src/ranges/ledger.cpp
@@ -54,11 +54,11 @@
 }
 
 std::optional<Millis> mayHoldUntil(
-    const GrantLedger& ledger, const InstanceId& instance, SlotId first, SlotId last, Counted counted)
+    const GrantLedger& ledger, const UpstreamName& upstream, SlotId first, SlotId last, Counted counted)
 {
     Millis latestEnd { 0 };
     for (const auto& it : ledger.records) {
-        if (it.instance != instance || last < it.first || it.last < first)
+        if (it.instance.name != upstream || last < it.first || it.last < first)
             continue;
         if (it.inFlight)
             return std::nullopt;
--- a/src/ranges/ledger.h
+++ b/src/ranges/ledger.h
@@ -50,8 +50,9 @@
 // Which grants count. After an answered release only unanswered grants do, because they may be carried out after it.
 enum class Counted { everyGrant, unansweredOnly };
 
-// Until when an instance may hold any of the slots because of recorded grants; zero if there are none. Nothing while a
-// grant is in flight.
-std::optional<Millis> mayHoldUntil(const GrantLedger&, const InstanceId&, SlotId first, SlotId last, Counted);
+// Until when any process under an upstream's name may hold any of the slots because of recorded grants; zero if there
+// are none. Nothing while a grant is in flight. A grant is addressed to the name, so a process that started again
+// before its entry arrived may have got those that are recorded for its predecessor.
+std::optional<Millis> mayHoldUntil(const GrantLedger&, const UpstreamName&, SlotId first, SlotId last, Counted);
 
 } // namespace pistachiospur
--- a/src/upstream/instance.h
+++ b/src/upstream/instance.h
@@ -24,6 +24,12 @@
     }
 };
 
+// Whether an instance is a later process of the same upstream as the other one.
+inline bool isLaterProcess(const InstanceId& instance, const InstanceId& other)
+{
+    return instance.name == other.name && other.startTime < instance.startTime;
+}
+
 struct UpstreamInstance {
     InstanceId id;
     ServiceName service;
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -345,6 +345,14 @@
     }.dump();
 }
 
+void RangeUpstream::restart(std::int64_t startTime)
+{
+    m_startTime = startTime;
+    m_grants.clear();
+    grantLog.clear(); // the fencing tokens seen with it
+    m_lastHandover.clear();
+}
+
 bool RangeUpstream::holds(std::uint32_t slot) const
 {
     const Millis now = monotonicNow();
@@ -370,18 +378,26 @@
     const std::string target = headerText(request, "target-instance");
     if (!target.empty() && target != m_name)
         return responder.respond({ 421, { { "Instance-Id", m_name } }, "" });
+    if (request.path == "/grant" && grantDelay > Millis(0)) {
+        m_timers.push_back(
+            std::make_unique<Timer>([this, request, responder, arrivedAt = monotonicNow(), startTime = m_startTime] {
+                if (m_startTime == startTime)
+                    onGrant(request, arrivedAt);
+            }));
+        return m_timers.back()->once(grantDelay);
+    }
     if (request.path == "/grant")
-        return responder.respond(onGrant(request));
+        return responder.respond(onGrant(request, monotonicNow()));
     if (request.path == "/release")
         return responder.respond(onRelease(request));
     run(request, responder);
 }
 
-HttpResponse RangeUpstream::onGrant(const HttpRequest& request)
+HttpResponse RangeUpstream::onGrant(const HttpRequest& request, Millis arrivedAt)
 {
     const Json body = Json::parse(request.body);
     const HeldGrant granted { body["from"], body["to"], body["fence"],
-        monotonicNow() + Millis(body["hold-ms"].get<std::int64_t>()) };
+        arrivedAt + Millis(body["hold-ms"].get<std::int64_t>()) };
     for (const auto& it : grantLog) {
         if (it.first <= granted.last && granted.first <= it.last && it.fence > granted.fence) {
             ++refusedGrants;
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -152,12 +152,15 @@
     bool holds(std::uint32_t slot) const;
     // The highest fencing token accepted for the slot since the upstream's start; 0 if none.
     std::uint64_t highestFence(std::uint32_t slot) const;
+    // Starts its process again under its name and address: it forgets its grants. Its entry in the store is unchanged.
+    void restart(std::int64_t startTime);
     // Handover token of the last grant that had one.
     std::string lastHandover() const { return m_lastHandover; }
 
     Millis runTime { 5 }; // of each request
     std::string statedLimit; // named in each answer, if not empty
     bool crashed = false; // while set, every call fails
+    Millis grantDelay {}; // if set, grants are not answered and take effect this late, unless it starts again
     std::vector<ReceivedRequest> received;
     unsigned grants = 0; // accepted, renewals included
     std::vector<AcceptedGrant> grantLog; // renewals included
@@ -172,7 +175,7 @@
     };
 
     void onCall(const HttpRequest&, const Responder&);
-    HttpResponse onGrant(const HttpRequest&);
+    HttpResponse onGrant(const HttpRequest&, Millis arrivedAt);
     HttpResponse onRelease(const HttpRequest&);
     void run(const HttpRequest&, const Responder&);
 
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -217,17 +217,37 @@
     GrantLedger ledger;
     const Millis ttl { 5000 };
     recordSent(ledger, 1, instance(1), { 0 }, { 99 });
-    BOOST_TEST(!mayHoldUntil(ledger, instance(1), { 0 }, { 9 }, Counted::unansweredOnly).has_value());
+    BOOST_TEST(!mayHoldUntil(ledger, instance(1).name, { 0 }, { 9 }, Counted::unansweredOnly).has_value());
     recordAnswered(ledger, 1, Millis(1000), ttl);
-    BOOST_TEST(
-        (mayHoldUntil(ledger, instance(1), { 0 }, { 9 }, Counted::everyGrant) == Millis(1000) + longestGrant(ttl)));
-    BOOST_TEST((mayHoldUntil(ledger, instance(1), { 0 }, { 9 }, Counted::unansweredOnly) == Millis(0)));
+    BOOST_TEST((
+        mayHoldUntil(ledger, instance(1).name, { 0 }, { 9 }, Counted::everyGrant) == Millis(1000) + longestGrant(ttl)));
+    BOOST_TEST((mayHoldUntil(ledger, instance(1).name, { 0 }, { 9 }, Counted::unansweredOnly) == Millis(0)));
     recordSent(ledger, 2, instance(1), { 5 }, { 20 });
     recordUnanswered(ledger, 2, Millis(2000), ttl);
+    BOOST_TEST((mayHoldUntil(ledger, instance(1).name, { 9 }, { 9 }, Counted::unansweredOnly)
+        == Millis(2000) + longestGrant(ttl)));
+    BOOST_TEST((mayHoldUntil(ledger, instance(1).name, { 50 }, { 60 }, Counted::unansweredOnly) == Millis(0)));
+    BOOST_TEST((mayHoldUntil(ledger, instance(2).name, { 9 }, { 9 }, Counted::everyGrant) == Millis(0)));
+}
+
+// Guards against a grant that is not counted because the upstream's process that took it had started again unseen.
+BOOST_AUTO_TEST_CASE(grantsToAnEarlierProcessCountForTheUpstreamsName)
+{
+    const Millis ttl { 5000 };
+    const InstanceId before = instance(1), after { before.name, { before.startTime.value + 1 } };
+    GrantLedger ledger;
+    recordSent(ledger, 1, before, { 0 }, { 99 });
+    recordAnswered(ledger, 1, Millis(1000), ttl);
+    recordSent(ledger, 2, after, { 0 }, { 49 });
+    recordAnswered(ledger, 2, Millis(2000), ttl);
+    BOOST_TEST(
+        (mayHoldUntil(ledger, after.name, { 60 }, { 70 }, Counted::everyGrant) == Millis(1000) + longestGrant(ttl)));
     BOOST_TEST(
-        (mayHoldUntil(ledger, instance(1), { 9 }, { 9 }, Counted::unansweredOnly) == Millis(2000) + longestGrant(ttl)));
-    BOOST_TEST((mayHoldUntil(ledger, instance(1), { 50 }, { 60 }, Counted::unansweredOnly) == Millis(0)));
-    BOOST_TEST((mayHoldUntil(ledger, instance(2), { 9 }, { 9 }, Counted::everyGrant) == Millis(0)));
+        (mayHoldUntil(ledger, before.name, { 0 }, { 9 }, Counted::everyGrant) == Millis(2000) + longestGrant(ttl)));
+    BOOST_TEST(isLaterProcess(after, before));
+    BOOST_TEST(!isLaterProcess(before, after));
+    BOOST_TEST(!isLaterProcess(before, before));
+    BOOST_TEST(!isLaterProcess(instance(2), before));
 }
 
 BOOST_AUTO_TEST_CASE(longestGrantCoversAClockThatRunsTwoPercentSlow)
