OWNER: a host's entry depends on its version, so no late write replaces it

What callers could see: two upstreams with the same slots, after a change of leader. A new leader takes a writer of the table for ended if its host's entry is from another process and newer than the table. Entries were written without a condition, so a write of the host's earlier process that the store carried out late passed for that: the leader before was taken for ended while it went on renewing. In the same way a host's own earlier write took its "leaving" flag back. Found by reading; no play showed it.

Cause: the one write to the store without an expected version, while the store may carry out a call without an answer seconds later.

Evidence: the tests on the code before: lateWriteOfAnEarlierProcessDoesNotReplaceTheHostsEntry: check entry.text == text has failed [{"incarnation":1,"leaving":true,...} != {"incarnation":2,"leaving":false,...}] hostEntrySaysLeavingInWhicheverOrderItsWritesArrive: check entry.text.find("\"leaving\":true") != npos has failed With this commit all unit tests pass.

Why it works: each write expects the version of the entry that this process wrote or was shown last. The present process has raised it before it may lead, so a write of an earlier one conflicts. After a conflict the next tick writes over the version that the store holds. A start over an entry that is left costs one call more.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -110,6 +110,7 @@
           { [this] { writeHostEntry(); },
               [this] {
                   m_hostEntryWritten = false;
+                  m_hostEntryVersion = {};
                   logEvent(EventKind::state, "lease_ended", {});
               },
               [this](const StoreError& error) { onStoreFailure("lease", error); } })
@@ -616,6 +617,7 @@
         m_onChange();
 }
 
+// A write that the store carries out late must not replace what this host, or its next process, has written since.
 void Directory::writeHostEntry()
 {
     if (m_lease.id() == kNoLease)
@@ -626,12 +628,16 @@
         { "era", m_store->era().value } };
     const std::string key = kHostPrefix + m_settings.host, text = record.dump();
     m_hostEntryWritePending = true;
-    m_store->write({ {}, { { key, text, m_lease.id() } } }, [this, key, text](const WriteResult& result) {
+    const ConditionalWrite write { { { key, m_hostEntryVersion } }, { { key, text, m_lease.id() } } };
+    m_store->write(write, [this, key, text](const WriteResult& result) {
         m_hostEntryWritePending = false;
         m_hostEntryWritten = std::holds_alternative<Written>(result);
         if (const auto* error = std::get_if<StoreError>(&result))
             return onStoreFailure("host entry", *error);
+        if (const auto* conflict = std::get_if<WriteConflict>(&result))
+            return onHostEntryConflict(*conflict);
         if (const auto* written = std::get_if<Written>(&result)) {
+            m_hostEntryVersion = written->revision;
             if (!mergeRecord(m_known, key, written->revision))
                 return;
             applyHost(m_settings.host, { key, text, written->revision });
@@ -640,6 +646,15 @@
     });
 }
 
+// The next tick writes the entry again, over the version that the store holds now.
+void Directory::onHostEntryConflict(const WriteConflict& conflict)
+{
+    const bool exists = !conflict.current.empty() && conflict.current.front().text;
+    m_hostEntryVersion = exists ? conflict.current.front().version : StoreRevision {};
+    m_nextHostEntryWriteAt = Millis(0);
+    logEvent(EventKind::state, "host_entry_conflict", { { "revision", m_hostEntryVersion.value } });
+}
+
 void Directory::publishLeaving()
 {
     m_leaving = true;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -157,6 +157,7 @@
     void onStoreAnswer();
 
     void writeHostEntry();
+    void onHostEntryConflict(const WriteConflict&);
 
     const GatewaySettings& m_settings;
     const PlatformAdapter& m_adapter;
@@ -195,6 +196,7 @@
     LeaseHolder m_lease;
     bool m_hostEntryWritten = false;
     bool m_hostEntryWritePending = false;
+    StoreRevision m_hostEntryVersion; // that the next write of this host's entry expects; zero if there is none
     Millis m_nextHostEntryWriteAt {}; // monotonic clock
     bool m_leaving = false;
 };
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -14,6 +14,8 @@
 // A store whose reads the test answers when and as it likes.
 struct FakeStore : LeasedStore {
     std::vector<std::function<void(ReadResult)>> reads;
+    std::vector<std::pair<ConditionalWrite, std::function<void(WriteResult)>>> writes;
+    std::vector<std::function<void(LeaseOpenResult)>> leaseCalls;
     OnBatch onBatch;
     OnWatchEnd onWatchEnd;
     CallCounts counts;
@@ -21,7 +23,10 @@
     StoreEra currentEra;
 
     void read(const std::string&, std::function<void(ReadResult)> callback) override { reads.push_back(callback); }
-    void write(const ConditionalWrite&, std::function<void(WriteResult)>) override { }
+    void write(const ConditionalWrite& write, std::function<void(WriteResult)> callback) override
+    {
+        writes.emplace_back(write, std::move(callback));
+    }
     void watch(StoreRevision, OnBatch batch, OnWatchEnd end) override
     {
         onBatch = std::move(batch);
@@ -33,7 +38,10 @@
     Millis watchConfirmedAt() const override { return confirmedAt; }
     const CallCounts& callCounts() const override { return counts; }
     StoreEra era() const override { return currentEra; }
-    void openLease(Millis, std::function<void(LeaseOpenResult)>) override { }
+    void openLease(Millis, std::function<void(LeaseOpenResult)> callback) override
+    {
+        leaseCalls.push_back(std::move(callback));
+    }
     void renewLease(LeaseId, std::function<void(LeaseRenewalResult)>) override { }
     void revokeLease(LeaseId, std::function<void()>) override { }
 
@@ -88,11 +96,12 @@
     GatewaySettings settings = settingsOf("h1");
     PlatformAdapter adapter = fakeAdapter();
     HttpClient http { 1u << 20 };
-    Directory directory { settings, adapter, http, Incarnation { 1 } };
-    FakeStore& store = *openedStore;
+    Directory directory;
+    FakeStore& store { *openedStore };
     std::string upstreamKey = adapter.upstreamPrefix + "u1";
 
-    Fixture()
+    explicit Fixture(std::uint64_t incarnation = 1)
+        : directory(settings, adapter, http, Incarnation { incarnation })
     {
         directory.start([] {});
     }
@@ -118,10 +127,77 @@
     }
 };
 
+// The one key that the writes of several hosts are carried out on.
+struct StoredKey {
+    std::string text;
+    std::uint64_t revision = 0; // zero: the key does not exist
+    std::uint64_t lastRevision = 200;
+
+    // Carries out a host's write, whenever it arrives.
+    void carryOut(const FakeStore& store, std::size_t n)
+    {
+        const auto [write, callback] = store.writes.at(n);
+        const auto& put = write.puts.at(0);
+        for (const auto& it : write.expected) {
+            if (it.version.value != revision) {
+                WriteConflict conflict { { lastRevision }, {} };
+                if (revision)
+                    conflict.current.push_back({ put.key, text, { revision } });
+                return callback(std::move(conflict));
+            }
+        }
+        text = *put.text;
+        revision = ++lastRevision;
+        callback(Written { { revision } });
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DirectoryOfTheStore)
 
+// Guards against a leader that is taken for ended while it renews: the store carried out an unanswered write of the
+// entry of its host's earlier process late, over the entry of the present one.
+BOOST_AUTO_TEST_CASE(lateWriteOfAnEarlierProcessDoesNotReplaceTheHostsEntry)
+{
+    Fixture earlier(1), present(2);
+    StoredKey entry;
+    earlier.store.leaseCalls.at(0)(LeaseOpened { { 1 }, Millis(3000) });
+    entry.carryOut(earlier.store, 0);
+    earlier.directory.publishLeaving(); // the write that is late
+    BOOST_REQUIRE(earlier.store.writes.size() == 2u);
+    present.store.leaseCalls.at(0)(LeaseOpened { { 2 }, Millis(3000) });
+    for (std::size_t n = 0; !present.directory.hasHostEntry() && n < present.store.writes.size(); ++n) {
+        entry.carryOut(present.store, n);
+        present.directory.tick();
+    }
+    BOOST_REQUIRE(present.directory.hasHostEntry());
+    const std::string text = entry.text;
+    const std::uint64_t revision = entry.revision;
+    entry.carryOut(earlier.store, 1);
+    BOOST_TEST(entry.text == text);
+    BOOST_TEST(entry.revision == revision);
+}
+
+// Guards against a host whose "leaving" flag is taken back by an earlier write of its own.
+BOOST_AUTO_TEST_CASE(hostEntrySaysLeavingInWhicheverOrderItsWritesArrive)
+{
+    Fixture host;
+    StoredKey entry;
+    host.store.leaseCalls.at(0)(LeaseOpened { { 1 }, Millis(3000) });
+    host.directory.publishLeaving();
+    BOOST_REQUIRE(host.store.writes.size() == 2u);
+    entry.carryOut(host.store, 1);
+    entry.carryOut(host.store, 0);
+    for (std::size_t n = 2; n < 4; ++n) {
+        host.directory.tick();
+        if (n < host.store.writes.size())
+            entry.carryOut(host.store, n);
+    }
+    BOOST_TEST(host.directory.hasHostEntry());
+    BOOST_TEST(entry.text.find("\"leaving\":true") != std::string::npos);
+}
+
 // Guards against requests to an upstream that has left: a read that was overtaken by relayed changes brought it back.
 BOOST_AUTO_TEST_CASE(lateReadDoesNotBringBackADeletedUpstream)
 {
