Model of ranges: the store comes back from an older copy

The model had no such step, since a store was taken to lose nothing that it acknowledged.

Counterexample with the step added and none of the new guards (as the code is at this commit; shortest trail, 10 steps after the first claim): host 0 leads, its table has revision 1. The store comes back from the copy before it. Host 1 finds no table, leads, and its table gets revision 1 again. It moves the range to upstream 1, waits for nobody since no table names a previous leader, and grants. Host 0 has heard nothing and still may renew: it grants upstream 0.

The mended model: a table names its era, a fencing token is (era, revision), an answer of a later era neither renews a lease nor makes a table write count, and a new leader that finds no table of its era waits for LEASE + OUTAGE + ORDER + HOLD and says so in its table. A leader may claim again in the new era and keep its table and its record of grants only if its lease has not ended. The first design let it as long as it may renew (OUTAGE longer) and only held back its moves; spin refutes that as well (NO_UNBROKEN_LEASE; also with all its moves after the return taken out, 23 steps): host 0's lease ends, host 1 leads, upstream 0 accepts its token, so it need not wait for host 0; it moves the range to upstream 1 by a release. The store comes back. Host 0 claims again and grants upstream 0 with a token of the new era, which upstream 0 accepts.

oneOwner holds, 4,851,790 states, complete. Each of the eight new guards is refuted when left out; neverGrantsAgain shows that the wait does end. A table write by a leader that has not heard of the new era may pass by chance here, whatever the leader record: it does no harm as long as its text names the earlier era and its writer looks at the answer's era.

Two changes make the model stricter. A lease of one tick always ended at the next tick, so that no leader ever renewed one and the wait for a leader that has not stopped was never reached: it may now be renewed in the tick in which it would end. And a right to renew includes its last tick. Times are now those that are left, so that the search is not bounded by LAST_TICK (was 5 ticks); LAST_WRITE is 4 for each era (was 3 in all).

--- a/models/ranges.pml
+++ b/models/ranges.pml
@@ -8,173 +8,336 @@
  * goes on renewing for OUTAGE ticks after its lease has ended, whether or not the store can be reached. Host 0 leads
  * first and host 1 takes over; only orders of host 0 lose their answers.
  *
- * docs/PROOFS.md maps each transition to the code. Each macro NO_... removes one guard; scripts/check-models shows for
- * three of them that spin then finds two upstreams that hold the range at once. For the others see docs/PROOFS.md.
+ * Once, the store may come back from an older copy, in a new era. The copy's leader record and table do not count, since
+ * they name an earlier era, and revisions are given out again. Nobody is told: a leader of the earlier era renews grants
+ * until the end of its right. If its lease has not ended it may claim again and keep its table, because no other host can
+ * have led since. Any other new leader that finds no table of its era regards each upstream as a possible holder
+ * (anyPrevious), names it so in its table, and waits until all grants of leaders of the earlier era have expired. A
+ * leader that claims again after its lease has ended is two hosts here: one that renews and one that waits.
+ *
+ * All times are those that are left, so that the search is not bounded in time.
+ *
+ * docs/PROOFS.md maps each transition to the code. Each macro NO_... removes one guard; scripts/check-models shows that
+ * spin then finds two upstreams that hold the range at once.
  */
 #define HOLD 1 /* TTL of a grant */
 #define ORDER 1
 #define LEASE 1 /* TTL of a leader's lease */
 #define OUTAGE 1
-#define LAST_TICK 5
-#define LAST_WRITE 3
+#define LAST_WRITE 4 /* of each era */
 #define NOBODY 2
 
-byte now = 0;
-
 /* The store. */
+bit era = 0;
 byte leader = NOBODY;
-byte leaseEnd = 0;
-byte writes = 0;
+byte leaseLeft = 0;
+byte writes = 0; /* revision */
+bit tableEra = 0; /* named in the table */
 bit owner = 0;
 bool previous = false; /* the other upstream is the previous owner and not yet cleared */
+bool anyPrevious = false; /* each upstream may be one */
 byte fence = 0;
 byte writer = NOBODY;
+#ifdef NO_TABLE_ERA
+bit ownerAt[LAST_WRITE + 1]; /* by revision, for the copy */
+bool previousAt[LAST_WRITE + 1];
+byte writerAt[LAST_WRITE + 1] = NOBODY;
+#endif
 
 /* Upstreams. */
-byte expires[2];
+byte holdLeft[2];
 byte seenFence[2];
 
 /* Hosts: state of each as leader. The view is its copy of the table. */
-bool isLeader[2]; /* acts as leader; may not yet know of a new one */
-byte knownLeaseEnd[2]; /* the lease's end as far as the host knows */
+bool isLeader[2]; /* acts as leader; may not yet know of a new one or of a new era */
+bit claimEra[2]; /* of its leader record */
+byte rightLeft[2]; /* to renew grants; its lease has not ended while more than OUTAGE + 1 are left */
 byte viewWrites[2];
 bit viewOwner[2];
 bool viewPrevious[2];
+bool viewAny[2];
 byte viewFence[2];
 bool cleared[2];
 bool released[2];
 bool hasEarlierGrants[2]; /* grants of the previous leader may still be valid */
-byte leaderSince[2];
-byte stoppedAt[2];
-bool stopKnown[2];
-byte answeredUntil[4]; /* by host * 2 + upstream: when the host's answered grants have expired */
-byte unansweredUntil[4]; /* the same for grants without an answer */
+byte earlierLeft[2]; /* until grants of earlier leaders have expired */
+byte answeredLeft[4]; /* by host * 2 + upstream: until the host's answered grants have expired */
+byte unansweredLeft[4]; /* the same for grants without an answer */
 
 /*
  * At most one grant per host is in flight. grantState: 0 none, 1 sent, 2 arrived. A late grant has arrived, its answer
  * is lost, and it may be carried out at any time.
  */
 byte grantState[2];
-byte sentAt[2];
-byte arrivedAt[2];
+byte orderLeft[2]; /* until the sender gives it up */
+byte ttlLeft[2]; /* of one that has arrived */
 bit grantTo[2];
 byte grantFence[2];
-bool lateGrant[2];
-byte lateArrived[2];
-bit lateTo[2];
-byte lateFence[2];
+byte lateTtlLeft; /* only host 0 loses answers; 0: no late grant */
+bit lateTo;
+byte lateFence;
 
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
+#define MIN(a, b) ((a) < (b) -> (a) : (b))
+#define holds(u) (holdLeft[u] > 0)
 
 #ifdef NO_RIGHT
 #define mayRenew(k) (isLeader[k])
 #else
-#define mayRenew(k) (isLeader[k] && now < knownLeaseEnd[k] + OUTAGE)
+#define mayRenew(k) (isLeader[k] && rightLeft[k] > 0)
 #endif
+#define mayWrite(k) (isLeader[k] && rightLeft[k] > OUTAGE)
+#define leadsWithCurrentView(k) (leader == k && claimEra[k] == era && viewWrites[k] == writes)
 #ifdef NO_PREDECESSOR
 #define earlierGrantsExpired(k) true
 #else
-#define earlierGrantsExpired(k) (!hasEarlierGrants[k] \
-    || now >= (stopKnown[k] -> stoppedAt[k] : leaderSince[k] + OUTAGE) + ORDER + HOLD)
+#define earlierGrantsExpired(k) (!hasEarlierGrants[k] || earlierLeft[k] == 0)
 #endif
 #ifdef NO_UNANSWERED
 #define unansweredExpired(k, u) true
 #else
-#define unansweredExpired(k, u) (now >= unansweredUntil[(k) * 2 + (u)])
+#define unansweredExpired(k, u) (unansweredLeft[(k) * 2 + (u)] == 0)
 #endif
 #ifdef NO_HOLD_WAIT
 #define answeredExpired(k, u) true
 #else
-#define answeredExpired(k, u) (now >= answeredUntil[(k) * 2 + (u)])
+#define answeredExpired(k, u) (answeredLeft[(k) * 2 + (u)] == 0)
 #endif
-#define leadsWithCurrentView(k) (leader == k && now < leaseEnd && viewWrites[k] == writes)
 
-inline applyGrant(to, atFence, arrived)
+#ifdef NO_TABLE_ERA
+#define tableCounts true
+#else
+#define tableCounts (tableEra == era)
+#endif
+#ifdef NO_FENCE_ERA
+#define newFence writes
+#else
+#define newFence (era * (LAST_WRITE + 1) + writes)
+#endif
+#ifdef NO_RENEWAL_ERA
+#define isLeaseRenewed(k) (isLeader[k] && (leader == k || claimEra[k] < era))
+#else
+#define isLeaseRenewed(k) (isLeader[k] && leader == k && claimEra[k] == era)
+#endif
+/* Whether a leader may claim again in a new era and keep its table. */
+#ifdef NO_UNBROKEN_LEASE
+#define mayKeepTable(k) mayRenew(k)
+#else
+#define mayKeepTable(k) (isLeader[k] && rightLeft[k] > OUTAGE + 1)
+#endif
+/* A leader of the earlier era may have renewed its lease just before the store came back. */
+#ifdef NO_LEASE_IN_WAIT
+#define ANY_WAIT (OUTAGE + ORDER + HOLD)
+#else
+#define ANY_WAIT (LEASE + OUTAGE + ORDER + HOLD)
+#endif
+#ifdef NO_ANY_IN_TABLE
+#define namesAny false
+#else
+#define namesAny true
+#endif
+
+inline applyGrant(to, atFence, left)
 {
     if
     :: atFence >= seenFence[to] ->
         seenFence[to] = atFence;
-        expires[to] = MAX(expires[to], arrived + HOLD)
+        holdLeft[to] = MAX(holdLeft[to], left)
     :: else
     fi
 }
 
+/* The forget... macros reset what has no use any more, so that spin regards more states as the same. */
+inline forgetGrant(k)
+{
+    grantState[k] = 0; orderLeft[k] = 0; ttlLeft[k] = 0; grantTo[k] = 0; grantFence[k] = 0
+}
+
+inline forgetLedger(k)
+{
+    answeredLeft[k * 2] = 0; answeredLeft[k * 2 + 1] = 0;
+    unansweredLeft[k * 2] = 0; unansweredLeft[k * 2 + 1] = 0
+}
+
+inline forgetView(k)
+{
+    claimEra[k] = 0; rightLeft[k] = 0; viewWrites[k] = 0; viewOwner[k] = 0; viewPrevious[k] = false;
+    viewAny[k] = false; viewFence[k] = 0; cleared[k] = false; released[k] = false; hasEarlierGrants[k] = false;
+    earlierLeft[k] = 0; forgetLedger(k)
+}
+
+inline renewLease(k)
+{
+    rightLeft[k] = LEASE + OUTAGE + 1;
+    if :: leader == k -> leaseLeft = LEASE :: else fi
+}
+
+inline writeTable(k)
+{
+    writes++;
+    tableEra = era;
+    viewWrites[k] = writes;
+#ifdef NO_TABLE_ERA
+    ownerAt[writes] = owner; previousAt[writes] = previous; writerAt[writes] = writer
+#endif
+}
+
 inline reloadView(k)
 {
-    cleared[k] = !previous;
+    fence = newFence;
+    cleared[k] = !previous && !viewAny[k];
     released[k] = false;
-    viewWrites[k] = writes;
     viewOwner[k] = owner;
     viewPrevious[k] = previous;
     viewFence[k] = fence
 }
 
+/* A host that did not lead becomes leader and writes its first table. */
+inline takeOver(k)
+{
+    forgetLedger(k);
+    viewAny[k] = anyPrevious || !tableCounts;
+    previous = previous && tableCounts && !viewAny[k];
+    anyPrevious = viewAny[k] && namesAny;
+    hasEarlierGrants[k] = !viewAny[k] && writer != NOBODY;
+    earlierLeft[k] = (viewAny[k] -> ANY_WAIT :
+        (!hasEarlierGrants[k] -> 0 : (writer == k -> ORDER + HOLD : OUTAGE + ORDER + HOLD)));
+    leader = k; isLeader[k] = true; claimEra[k] = era; writer = k;
+    renewLease(k);
+    writeTable(k);
+    reloadView(k)
+}
+
+inline adoptStaleWrite(k)
+{
+#ifdef NO_ANSWER_ERA
+    viewWrites[k] = writes; reloadView(k)
+#else
+    skip
+#endif
+}
+
+inline keepLedger(k)
+{
+#ifdef NO_KEPT_LEDGER
+    forgetLedger(k)
+#else
+    skip
+#endif
+}
+
+#define mayTakeOver(k) (leader == NOBODY && !isLeader[k] && grantState[k] == 0 && writes < LAST_WRITE)
+
 proctype Host(byte k)
 {
     do
-    :: d_step { leader == NOBODY && (writes == 0 -> k == 0 : k == 1) && !isLeader[k] && grantState[k] == 0 &&
-            writes < LAST_WRITE ->
-        leader = k; leaseEnd = now + LEASE; knownLeaseEnd[k] = leaseEnd; isLeader[k] = true;
-        hasEarlierGrants[k] = (writer != NOBODY); leaderSince[k] = now;
-        stopKnown[k] = (writer == k); stoppedAt[k] = now;
-        answeredUntil[k * 2] = 0; answeredUntil[k * 2 + 1] = 0;
-        unansweredUntil[k * 2] = 0; unansweredUntil[k * 2 + 1] = 0;
-        writes++; fence = writes; writer = k; reloadView(k) }
-    :: d_step { isLeader[k] && leader == k && now < leaseEnd -> leaseEnd = now + LEASE; knownLeaseEnd[k] = leaseEnd }
-    :: d_step { isLeader[k] && now < knownLeaseEnd[k] && leadsWithCurrentView(k) && writes < LAST_WRITE &&
+    :: d_step { mayTakeOver(k) && tableCounts && (era == 1 || (writes == 0 -> k == 0 : k == 1)) -> takeOver(k) }
+    :: d_step { mayTakeOver(k) && !tableCounts -> owner = 0; takeOver(k) }
+    :: d_step { mayTakeOver(k) && !tableCounts -> owner = 1; takeOver(k) }
+    :: d_step { mayKeepTable(k) && claimEra[k] < era && leader == NOBODY && writes < LAST_WRITE ->
+        leader = k; claimEra[k] = era; writer = k; owner = viewOwner[k]; previous = viewPrevious[k];
+        renewLease(k);
+        writeTable(k);
+        fence = newFence; viewFence[k] = fence;
+        keepLedger(k) }
+    :: d_step { isLeaseRenewed(k) -> renewLease(k) }
+    :: d_step { mayWrite(k) && leadsWithCurrentView(k) && writes < LAST_WRITE && !viewPrevious[k] && !viewAny[k] &&
+            grantState[k] == 0 ->
+        owner = 1 - viewOwner[k]; previous = true; writeTable(k); reloadView(k) }
+    /*
+     * A leader that has not heard of the new era writes. Revisions may match by chance; the table names the earlier era,
+     * and so the write has no effect if its writer sees the answer's era.
+     */
+    :: d_step { mayWrite(k) && claimEra[k] < era && viewWrites[k] == writes && writes < LAST_WRITE &&
             !viewPrevious[k] && grantState[k] == 0 ->
-        owner = 1 - viewOwner[k]; previous = true; writes++; fence = writes; reloadView(k) }
-    :: d_step { isLeader[k] && leader != k -> isLeader[k] = false } /* learns of the new leader, or its process ends */
-    :: d_step { isLeader[k] && hasEarlierGrants[k] && !stopKnown[k] && !isLeader[1 - k] ->
-        stopKnown[k] = true; stoppedAt[k] = now }
+        owner = 1 - viewOwner[k]; previous = true; anyPrevious = false; writes++; tableEra = claimEra[k];
+        adoptStaleWrite(k) }
+    /* Learns of the new leader or era, or its process ends. */
+    :: d_step { isLeader[k] && (leader != k || claimEra[k] < era) -> isLeader[k] = false; forgetView(k) }
+    :: d_step { isLeader[k] && hasEarlierGrants[k] && earlierLeft[k] > ORDER + HOLD && !isLeader[1 - k] ->
+        earlierLeft[k] = ORDER + HOLD }
     :: d_step { mayRenew(k) && viewPrevious[k] && !cleared[k] && grantState[k] == 0 && !released[k] ->
-        expires[1 - viewOwner[k]] = 0; released[k] = true }
+        holdLeft[1 - viewOwner[k]] = 0; released[k] = true }
     :: d_step { mayRenew(k) && viewPrevious[k] && !cleared[k] && grantState[k] == 0 && earlierGrantsExpired(k) &&
             unansweredExpired(k, 1 - viewOwner[k]) && (released[k] || answeredExpired(k, 1 - viewOwner[k])) ->
         cleared[k] = true }
+    :: d_step { mayRenew(k) && viewAny[k] && !cleared[k] && earlierLeft[k] == 0 -> cleared[k] = true }
     :: d_step { mayRenew(k) && cleared[k] && grantState[k] == 0 ->
-        grantState[k] = 1; sentAt[k] = now; grantTo[k] = viewOwner[k]; grantFence[k] = viewFence[k] }
-    :: d_step { grantState[k] == 1 -> grantState[k] = 2; arrivedAt[k] = now }
+        grantState[k] = 1; orderLeft[k] = ORDER; grantTo[k] = viewOwner[k]; grantFence[k] = viewFence[k] }
+    :: d_step { grantState[k] == 1 -> grantState[k] = 2; ttlLeft[k] = HOLD }
     :: d_step { grantState[k] == 2 ->
         if
-        :: grantFence[k] >= seenFence[grantTo[k]] ->
-            if :: grantFence[k] == viewFence[k] -> hasEarlierGrants[k] = false :: else fi
-        :: else
-        fi;
-        applyGrant(grantTo[k], grantFence[k], arrivedAt[k]);
-        answeredUntil[k * 2 + grantTo[k]] = MAX(answeredUntil[k * 2 + grantTo[k]], now + HOLD);
-        grantState[k] = 0 }
-    :: d_step { grantState[k] > 0 && k == 0 && !lateGrant[k] ->
-        if
-        :: grantState[k] == 2 -> lateGrant[k] = true; lateArrived[k] = arrivedAt[k]; lateTo[k] = grantTo[k];
-            lateFence[k] = grantFence[k]
+        :: isLeader[k] ->
+            if
+            :: grantFence[k] == viewFence[k] && grantFence[k] >= seenFence[grantTo[k]] ->
+                hasEarlierGrants[k] = false; earlierLeft[k] = 0
+            :: else
+            fi;
+            answeredLeft[k * 2 + grantTo[k]] = HOLD
         :: else
         fi;
-        unansweredUntil[k * 2 + grantTo[k]] = MAX(unansweredUntil[k * 2 + grantTo[k]], now + HOLD);
-        grantState[k] = 0 }
-    :: d_step { lateGrant[k] -> lateGrant[k] = false;
-        if :: lateArrived[k] + HOLD > now -> applyGrant(lateTo[k], lateFence[k], lateArrived[k]) :: else fi }
-    :: d_step { mayRenew(k) && cleared[k] && viewPrevious[k] && leadsWithCurrentView(k) && !hasEarlierGrants[k] &&
-            writes < LAST_WRITE && expires[owner] > now && now < knownLeaseEnd[k] ->
-        previous = false; viewPrevious[k] = false; writes++; viewWrites[k] = writes }
-    :: now == LAST_TICK -> break
+        applyGrant(grantTo[k], grantFence[k], ttlLeft[k]);
+        forgetGrant(k) }
+    :: d_step { grantState[k] > 0 && k == 0 && lateTtlLeft == 0 ->
+        lateTtlLeft = ttlLeft[k];
+        if :: lateTtlLeft > 0 -> lateTo = grantTo[k]; lateFence = grantFence[k] :: else fi;
+        if :: isLeader[k] -> unansweredLeft[k * 2 + grantTo[k]] = HOLD :: else fi;
+        forgetGrant(k) }
+    :: d_step { k == 0 && lateTtlLeft > 0 ->
+        applyGrant(lateTo, lateFence, lateTtlLeft);
+        lateTtlLeft = 0; lateTo = 0; lateFence = 0 }
+    :: d_step { mayWrite(k) && cleared[k] && (viewPrevious[k] || viewAny[k]) && leadsWithCurrentView(k) &&
+            !hasEarlierGrants[k] && writes < LAST_WRITE && holds(owner) ->
+        previous = false; anyPrevious = false; viewPrevious[k] = false; viewAny[k] = false; writeTable(k) }
     od
 }
 
-/* Time stops ORDER ticks after a grant was sent if it is still in flight, because its sender gives it up by then. */
+#define passTick(time) time = (time > 0 -> time - 1 : 0)
+#define givesUp(k) (grantState[k] > 0 && orderLeft[k] == 0)
+
+/* Time stops while a grant in flight is to be given up or a lease that was not renewed is to end. */
 proctype Clock()
 {
     do
-    :: d_step { now < LAST_TICK && !(grantState[0] > 0 && now >= sentAt[0] + ORDER) &&
-            !(grantState[1] > 0 && now >= sentAt[1] + ORDER) ->
-        now++;
-        if :: leader != NOBODY && now >= leaseEnd -> leader = NOBODY :: else fi }
-    :: now == LAST_TICK -> break
+    :: d_step { !givesUp(0) && !givesUp(1) && !(leader != NOBODY && leaseLeft == 0) ->
+        passTick(leaseLeft); passTick(holdLeft[0]); passTick(holdLeft[1]);
+        passTick(rightLeft[0]); passTick(rightLeft[1]); passTick(earlierLeft[0]); passTick(earlierLeft[1]);
+        passTick(answeredLeft[0]); passTick(answeredLeft[1]); passTick(answeredLeft[2]); passTick(answeredLeft[3]);
+        passTick(unansweredLeft[0]); passTick(unansweredLeft[1]);
+        passTick(orderLeft[0]); passTick(orderLeft[1]); passTick(ttlLeft[0]); passTick(ttlLeft[1]);
+        passTick(lateTtlLeft);
+        if :: lateTtlLeft == 0 -> lateTo = 0; lateFence = 0 :: else fi }
+    :: d_step { leader != NOBODY && leaseLeft == 0 -> leader = NOBODY }
     od
 }
 
-init { atomic { run Host(0); run Host(1); run Clock() } }
+/* The store comes back from a copy as of some earlier revision. */
+inline restoreCopy(revision)
+{
+    d_step { era == 0 && writes > 0 && revision <= writes ->
+        era = 1; leader = NOBODY; leaseLeft = 0; writes = revision; previous = false; writer = NOBODY; fence = 0;
+#ifdef NO_TABLE_ERA
+        owner = ownerAt[writes]; previous = previousAt[writes]; writer = writerAt[writes]
+#endif
+    }
+}
+
+proctype Store()
+{
+    if
+    :: restoreCopy(0)
+    :: restoreCopy(1)
+    :: restoreCopy(2)
+    :: restoreCopy(3)
+    :: restoreCopy(4)
+    fi
+}
+
+init { atomic { run Host(0); run Host(1); run Clock(); run Store() } }
 
-ltl oneOwner { [] !(expires[0] > now && expires[1] > now) }
+ltl oneOwner { [] !(holds(0) && holds(1)) }
 /* Expected to be violated, which shows that the range can move to the other upstream. */
-ltl neverMoves { [] !(expires[1] > now) }
+ltl neverMoves { [] !holds(1) }
+/* Expected to be violated, which shows that a leader that waited for any upstream grants the range. */
+#define grantsAgain(k) (viewAny[k] && cleared[k] && holds(viewOwner[k]) && seenFence[viewOwner[k]] == viewFence[k])
+ltl neverGrantsAgain { [] !(grantsAgain(0) || grantsAgain(1)) }
