--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 $(STANDINS): $(BUILD)/standin-%: $(BUILD)/standins/%.o $(BUILD)/libpistachiospur.a
 	$(CXX) $^ $(LIBS) -o $@
 
-$(BUILD)/unit-tests: $(call object,$(TEST_SOURCES) standins/kv.cpp) $(BUILD)/libpistachiospur.a
+$(BUILD)/unit-tests: $(call object,$(TEST_SOURCES) standins/kv.cpp standins/raw_upstream.cpp) $(BUILD)/libpistachiospur.a
 	$(CXX) $^ $(LIBS) -lboost_unit_test_framework -lrapidcheck -o $@
 
 $(BUILD)/site-tests: $(call object,$(SITE_TEST) standins/site.cpp) $(BUILD)/libpistachiospur.a
