Orders: an earlier order's refusal proves nothing about a later one

An upstream that wrote the refusal of an earlier grant (409, 421, 400) once more on the kept connection, without an id, made the leader count a grant as not applied that the upstream carried out; after a 421 its instance also counted as ended. Its keys could then go to another upstream while it held them. With or without an id, one extra answer shifted all later answers of the connection, so each grant sent on it counted as unanswered.

Cause: an answer without an id was taken for the answer to whatever order the connection carried, and a connection whose answers no longer matched stayed in use.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -98,6 +98,14 @@
         return data.copy(buf, n);
     }
 
+    static bool namesAnotherCall(const Transfer& transfer)
+    {
+        const auto& expected = transfer.call.repeatedHeader;
+        const auto& headers = transfer.answer.headers;
+        const auto found = expected ? headers.find(expected->first) : headers.end();
+        return found != headers.end() && found->second != expected->second;
+    }
+
     static std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* userData)
     {
         auto& transfer = *static_cast<Transfer*>(userData);
@@ -115,6 +123,8 @@
         if (transfer.headComplete) // a trailer
             return size * count;
         transfer.headComplete = line == "\r\n" || line == "\n";
+        if (transfer.headComplete && namesAnotherCall(transfer))
+            return 0;
         const auto colon = line.find(':');
         if (colon == std::string::npos)
             return size * count;
@@ -358,9 +368,11 @@
         transfer->callback(HttpFailure { HttpFault::broken });
         return;
     }
-    long status = 0;
+    long status = 0, newConnections = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &newConnections);
     transfer->answer.status = static_cast<int>(status);
+    transfer->answer.onReusedConnection = newConnections == 0;
     m_totalBytes -= transfer->answer.body.size();
     transfer->callback(std::move(transfer->answer));
 }
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -35,6 +35,10 @@
     // Resets the connection (TCP RST) when the call is aborted, so that bytes delayed by a network partition are not
     // delivered later.
     bool resetOnAbort = false;
+    // Name, in lower case, and value of a header that the server repeats in its answer. An answer with another value
+    // belongs to another call: this one fails as broken, and its connection, on which the answers no longer match the
+    // calls, is closed.
+    std::optional<std::pair<std::string, std::string>> repeatedHeader;
     // If set, receives each chunk of the body as it arrives; HttpAnswer::body then stays empty.
     std::function<void(const char* data, std::size_t n)> onBodyChunk;
 };
@@ -55,6 +59,8 @@
     int status = 0;
     HeaderMap headers;
     std::string body;
+    // The connection had carried an earlier call, so an answer that names none may be that call's, sent again.
+    bool onReusedConnection = false;
 };
 
 using HttpOutcome = std::variant<HttpAnswer, HttpFailure>;
