Stop: open requests are answered before the process exits

What was still open at the end of a planned stop lost its connection without an answer, also requests that had not been sent to any upstream and could have been tried elsewhere at once. The process now answers all open requests when the stop ends: 503 "not run" if nothing was sent, else 502, which promises nothing.

openRequestsAreAnsweredBeforeTheHostEnds failed before: on each of the four routes the caller had received nothing when the connection ended, where the test expects 502.

--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -467,17 +467,32 @@
     }
 }
 
+void GatewayFrontend::onDeadline(RequestId id)
+{
+    abandon(id, RefusalReason::upstreamTimeout, RefusalReason::deadlinePassed);
+}
+
+void GatewayFrontend::endAll()
+{
+    std::vector<RequestId> open;
+    for (const auto& [id, pending] : m_pending)
+        open.push_back(id);
+    for (const auto id : open) {
+        if (m_pending.count(id))
+            abandon(id, RefusalReason::stopping, RefusalReason::stopping);
+    }
+}
+
 // Ends a request without an answer. Its run at an upstream ends too if it may be repeated, or if its body has not
 // arrived completely; otherwise it runs on, because it may have an effect.
-void GatewayFrontend::onDeadline(RequestId id)
+void GatewayFrontend::abandon(RequestId id, RefusalReason ifSent, RefusalReason ifNotSent)
 {
     PendingRequest& pending = *m_pending.at(id);
     const bool isOut = pending.state == State::forwarded || pending.state == State::sending;
     const LinkId link = pending.link;
     const auto job = pending.job;
     const std::uint64_t relay = relayId(id, pending.attempt);
-    const Reply reply = isOut || pending.possibleRuns > 0 ? maybeRun(RefusalReason::upstreamTimeout)
-                                                          : notRun(RefusalReason::deadlinePassed);
+    const Reply reply = isOut || pending.possibleRuns > 0 ? maybeRun(ifSent) : notRun(ifNotSent);
     const bool bodyArriving = pending.rest && !pending.rest->isAtEnd();
     if (pending.state == State::sending && (pending.request.idempotent || bodyArriving)) {
         m_context.http.cancel(pending.call);
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -29,6 +29,8 @@
     void onLinkLost(const LostLink&);
     // Starts a new attempt for each request that waits for its range. Called after a change of upstreams or ranges.
     void refresh();
+    // Answers all open requests: the host is about to end.
+    void endAll();
 
     std::size_t pendingCount() const { return m_pending.size(); }
     // Number of requests by service and slot since the last call.
@@ -86,6 +88,7 @@
     bool approveRetry(PendingRequest&, const Refusal&);
     void scheduleAttempt(RequestId, Millis delay);
     void onDeadline(RequestId);
+    void abandon(RequestId, RefusalReason ifSent, RefusalReason ifNotSent);
     void onCallerGone(RequestId);
     void complete(RequestId, Reply);
     void respond(const Responder&, HttpResponse);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -396,6 +396,8 @@
         leader->resign();
     const PlannedStop& stop = m_context.stop;
     const bool late = now >= stop.endsAt;
+    if (late)
+        m_frontend.endAll();
     const bool idle = m_frontend.pendingCount() == 0 && m_dispatcher.jobCount() == 0;
     if (!late && now < stop.requestedAt + kBalancerNoticeTime)
         return;
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -127,6 +127,33 @@
     BOOST_TEST(refused > 0);
 }
 
+// Guards against open requests that end with the process: those sent long before and still at work get an answer too.
+BOOST_AUTO_TEST_CASE(openRequestsAreAnsweredBeforeTheHostEnds)
+{
+    RawSite site(
+        2,
+        [](const RawRequest& request) -> std::vector<RawPart> {
+            if (request.id.find("stuck") == 0)
+                return {};
+            return { { sealedAnswer(request.id, "{}") } };
+        },
+        kShortGraceMs);
+    BOOST_REQUIRE(site.waitUntilServed());
+    std::vector<std::unique_ptr<CallerConnection>> callers;
+    for (const char* target : kTargets) {
+        callers.push_back(std::make_unique<CallerConnection>(site.callerEndpoints[0]));
+        callers.back()->write(RawSite::text(target, std::string("stuck") + target));
+        BOOST_REQUIRE(RawSite::runLoopUntil([&] { return site.runCount(std::string("stuck") + target) == 1; }));
+    }
+    Gateway& host = *site.gateways[0];
+    host.beginStop();
+    BOOST_REQUIRE(RawSite::runLoopUntil([&] { return host.hasStopped(); }, Millis(1500)));
+    site.gateways[0].reset();
+    RawSite::runLoopFor(Millis(100));
+    for (const auto& it : callers)
+        BOOST_TEST(statusOf(it->read()) == 502, it->read());
+}
+
 // Guards against a request that another host passes on to a stopping one before it has heard of the stop, and that is
 // cut off when that one ends.
 BOOST_AUTO_TEST_CASE(requestThatCrossesTheNewsOfAStopIsServedOrRefusedAtOnce)
