Stop: the process exits only once its answers are sent

A caller that read a large answer slowly got a part of it: an answer counted as done once it was handed to the connection, and the process exited with the rest unsent. It now also waits until no request of a connection is open and no answer is unsent; at the end of the stop for 0.2 s more at most, which is before the platform kills it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 constexpr Millis kStopCheckInterval { 50 };
 // The load balancer sends connections to a stopping host until two readiness checks, one second apart, have failed.
 constexpr Millis kBalancerNoticeTime { 2600 };
+// After the end of a stop, the last answers have this long to be sent. The platform kills the process later.
+constexpr Millis kLastAnswerTime { 200 };
 // A stopping host accepts forwarded requests for this long, so that the other hosts can receive its HostLeaving message
 // first.
 constexpr Millis kPeerNoticeTime { 300 };
@@ -398,7 +400,7 @@
     const bool late = now >= stop.endsAt;
     if (late)
         m_frontend.endAll();
-    const bool idle = m_frontend.pendingCount() == 0 && m_dispatcher.jobCount() == 0;
+    const bool idle = m_frontend.pendingCount() == 0 && m_dispatcher.jobCount() == 0 && !m_callerServer.isResponding();
     if (!late && now < stop.requestedAt + kBalancerNoticeTime)
         return;
     // If few hosts of the data centre are ready, the load balancer may keep sending connections to this one. From here
@@ -408,7 +410,8 @@
         m_context.directory.endHostLease([this] { m_leaseEnded = true; });
     }
     const bool leaseEndTimedOut = now >= stop.requestedAt + kBalancerNoticeTime + kLeaseEndTimeout;
-    if (!late && !(idle && (m_leaseEnded || leaseEndTimedOut)))
+    const bool sending = m_callerServer.isResponding() && now < stop.endsAt + kLastAnswerTime;
+    if (late ? sending : !(idle && (m_leaseEnded || leaseEndTimedOut)))
         return;
     m_stopTimer.stop();
     logEvent(EventKind::state, "stopped", { { "open_requests", m_frontend.pendingCount() } });
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -53,6 +53,7 @@
     // Ends the connection: open exchanges learn that the caller has gone.
     void close();
     void updateTimer();
+    bool isResponding() { return m_pipeline.openRequests() > 0 || !m_pipeline.output().empty(); }
 
 private:
     HttpPipeline::Handlers pipelineHandlers();
@@ -430,6 +431,11 @@
         m_acceptWatcher.watch(m_listenFd, EV_READ);
 }
 
+bool HttpServer::isResponding() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto& it) { return it->isResponding(); });
+}
+
 void HttpServer::stopListening()
 {
     if (m_listenFd < 0)
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -59,6 +59,8 @@
     // Bounds the memory for bodies of new connections; `overload` answers the requests that do not fit.
     void setBodyBudget(std::shared_ptr<MemoryBudget> budget, std::function<HttpResponse()> overload);
     std::size_t connectionCount() const { return m_connections.size(); }
+    // Whether a request is not answered yet, or an answer not sent completely.
+    bool isResponding() const;
 
 private:
     void acceptAll();
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -232,4 +232,27 @@
     }
 }
 
+// Guards against an answer that a stopping host has sent only in part when it ends, because its caller reads slowly.
+BOOST_AUTO_TEST_CASE(largeAnswerToASlowCallerIsWholeWhenTheHostEnds)
+{
+    const std::string body(12u << 20, 'x');
+    RawSite site(
+        2,
+        [&](const RawRequest& request) -> std::vector<RawPart> {
+            return { { sealedAnswer(request.id, request.id == "large" ? body : "{}") } };
+        },
+        kGraceMs);
+    BOOST_REQUIRE(site.waitUntilServed());
+    CallerConnection caller(site.callerEndpoints[0]);
+    Gateway& host = *site.gateways[0];
+    host.beginStop();
+    caller.write(RawSite::text("/safe/x", "large"));
+    // The caller reads nothing until the host would have ended without it.
+    RawSite::runLoopUntil([&] { return host.hasStopped(); }, Millis(3100));
+    if (host.hasStopped())
+        site.gateways[0].reset();
+    RawSite::runLoopUntil([&] { return statusOf(caller.read()) == 200 || caller.hasEnded(); }, Millis(1000));
+    BOOST_TEST(statusOf(caller.read()) == 200, caller.read().size() << " bytes");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
