Departures: an upstream that says in an answer that it leaves gets no new work

Cause: Server-Leaving was read nowhere; only the store's entry counted as a departure.

Why it works: the directory keeps the departure by instance (name and start) beside the entries and applies it to whatever entry comes later, so neither `ready`, a deletion, a lapse in an outage nor an older copy of the store ends it; another start does. The host that sees the answer applies it at once and tells the other hosts in one message; one that misses that message learns it from its own first answer, and the rule binds it only from then on. The range leader's choice of owners uses the same time after which an instance gets no new work, so slots move by release and hand-over. Answers that are broken, bear another request's id or another instance's, and a 421 that names no instance, say nothing.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -111,6 +111,7 @@
             [](const WatchUpdate&) {},
             [](const RelayTurn&) {},
             [](const RelayTurnOver&) {},
+            [](const UpstreamDeparture&) {},
         },
         message);
 }
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -60,6 +60,13 @@
     std::string handover; // token for the next owner's grant; may be empty
 };
 
+// What an answer says of its upstream, besides answering.
+struct UpstreamNotice {
+    bool isLeaving = false; // the upstream ends soon and must not get new requests
+
+    friend bool operator==(const UpstreamNotice& a, const UpstreamNotice& b) { return a.isLeaving == b.isLeaving; }
+};
+
 struct PlatformAdapter {
     std::string configurationKey; // store key of the operator's configuration
     std::string upstreamPrefix; // prefix of the store keys of upstreams' entries
@@ -83,6 +90,8 @@
     Reply (*interpretAnswer)(HttpOutcome, const Request&, const UpstreamName& sentTo);
     // What an answer says of its upstream's limit, whether or not it answers the request.
     RateNotice (*readRate)(const HttpAnswer&);
+    // Nothing if the answer is another upstream's or belongs to another request than the one with this id.
+    UpstreamNotice (*readNotice)(const HttpAnswer&, const std::string& sentId, const UpstreamName& sentTo);
 };
 
 } // namespace pistachiospur
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -414,6 +414,8 @@
         entry.noNewWorkFrom = isKnown && known->second.noNewWorkFrom.value_or(now) <= now
             ? known->second.noNewWorkFrom.value_or(now)
             : now;
+    if (const auto departure = m_departures.find(instance->id); departure != m_departures.end())
+        entry.noNewWorkFrom = std::min(departure->second, entry.noNewWorkFrom.value_or(departure->second));
     if (isKnown && known->second.instance == *instance && !known->second.entryGone) {
         known->second = std::move(entry);
         return;
@@ -579,6 +581,17 @@
     m_onChange();
 }
 
+bool Directory::recordDeparture(const InstanceId& id)
+{
+    const auto [departure, added] = m_departures.emplace(id, monotonicNow());
+    const auto it = m_instances.find(id.name);
+    if (!added || it == m_instances.end() || it->second.instance.id != id)
+        return added;
+    it->second.noNewWorkFrom = std::min(departure->second, it->second.noNewWorkFrom.value_or(departure->second));
+    m_onChange();
+    return true;
+}
+
 void Directory::tick()
 {
     const Millis now = monotonicNow();
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -113,6 +113,9 @@
     const InstanceEntry* findInstance(const InstanceId&) const;
     // Records that an instance is proven to have ended: another upstream answers at its address.
     void recordEnded(const InstanceId&);
+    // Records that an instance has said itself that it leaves. It gets no new work for the rest of its life, whatever
+    // its entry says. Returns false if that was known.
+    bool recordDeparture(const InstanceId&);
     // True when an instance is recorded as ended.
     bool isProvenEnded(const InstanceId& id) const { return m_endedInstances.count(id) > 0; }
     // The entry of an instance, or of a later one with the same upstream name; null when neither is known.
@@ -178,6 +181,7 @@
     std::set<std::string> m_loggedFaults;
     std::map<UpstreamName, InstanceEntry> m_instances;
     std::set<InstanceId> m_endedInstances; // proven to have ended, even if their entries still exist
+    std::map<InstanceId, Millis> m_departures; // when instances first said that they leave, on the monotonic clock
     std::map<HostName, HostEntry> m_hosts;
     std::uint64_t m_hostsVersion = 1;
     Millis m_nextRemovalAt { 0 }; // monotonic clock: no instance or host is to be removed before
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -1,5 +1,6 @@
 #include "dispatch.h"
 
+#include "notices.h"
 #include "observe/events.h"
 
 #include <nlohmann/json.hpp>
@@ -46,16 +47,22 @@
     Request sent = request;
     sent.body = {};
     return context.http.start(std::move(call),
-        [&context, sent = std::move(sent), name = upstream.id.name, startedAt, callback = std::move(callback)](
+        [&context, sent = std::move(sent), id = upstream.id, startedAt, callback = std::move(callback)](
             HttpOutcome outcome) {
+            const auto& name = id.name;
             const auto* answer = std::get_if<HttpAnswer>(&outcome);
             RateNotice rate = answer ? context.adapter.readRate(*answer) : RateNotice {};
+            const UpstreamNotice notice
+                = answer ? context.adapter.readNotice(*answer, sent.id, name) : UpstreamNotice {};
             Reply reply = context.adapter.interpretAnswer(std::move(outcome), sent, name);
             const auto* refused = std::get_if<Refusal>(&reply);
             // Another upstream says nothing of this one, and an answer that is not valid may lack any header.
             const bool isOther = refused && refused->reason == RefusalReason::upstreamReplaced;
+            const bool isBroken = refused && refused->reason == RefusalReason::upstreamBroken;
             if (isOther || (refused && rate.kind == RateNotice::Kind::unlimited))
                 rate = {};
+            if (!isOther && !isBroken)
+                takeNotice(context, id, notice, sent.id);
             if (const auto* refusal = std::get_if<Refusal>(&reply))
                 logEvent(EventKind::request, "upstream_failed",
                     { { "request", sent.id }, { "upstream", name }, { "outcome", outcomeName(reply) },
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "config/settings.h"
+#include "notices.h"
 #include "observe/events.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -187,6 +188,7 @@
             },
             [&](const WatchUpdate& received) { m_watcher.onWatchUpdate(from, received); },
             [&](const HostLeaving& received) { m_context.directory.markHostLeaving(from, received.incarnation); },
+            [&](const UpstreamDeparture& received) { takeDeparture(m_context, from, received); },
             [&](RangeUpdate& received) { onRangeUpdate(std::move(received)); },
             [](const auto&) {}, // other messages belong to the protocol with challenges (src/daemon)
         },
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -1,4 +1,5 @@
 #include "leader.h"
+#include "notices.h"
 
 #include "observe/events.h"
 
@@ -149,8 +150,10 @@
     previousOwner.releasing = true;
     const ReleaseOrder order { range.first, range.last, range.fence, orderText(m_nextOrder++) };
     m_context.http.start(m_context.adapter.releaseCall(upstream, order),
-        [this, key = keyOf(range), instance, id = order.id](
-            const HttpOutcome& outcome) { onRelease(key, instance, m_context.adapter.interpretRelease(outcome, id)); });
+        [this, key = keyOf(range), instance, asked = upstream.id, id = order.id](const HttpOutcome& outcome) {
+            takeOrderNotice(m_context, asked, outcome, id);
+            onRelease(key, instance, m_context.adapter.interpretRelease(outcome, id));
+        });
 }
 
 void RangeLeader::onRelease(const RangeKey& key, const InstanceId& instance, const ReleaseResult& result)
@@ -188,6 +191,7 @@
     // not arrive.
     call.freshConnection = state.lastGrantFailed;
     m_context.http.start(std::move(call), [this, range, sent](const HttpOutcome& outcome) {
+        takeOrderNotice(m_context, range.owner, outcome, orderText(sent.order));
         onGrant(range, sent, m_context.adapter.interpretGrant(outcome, orderText(sent.order)));
     });
 }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -26,6 +26,8 @@
             "time from the arrival of a caller's request to its answer, by service and rank" },
         { "pistachiospur_late_replies_total", "counter",
             "replies dropped because their request or attempt had already ended" },
+        { "pistachiospur_upstream_notices_total", "counter",
+            "answers by which upstreams began to leave or to be paused, by kind" },
         { "pistachiospur_renewals_total", "counter", "grant renewals sent, by result" },
         { "pistachiospur_store_calls_total", "counter", "calls to the platform's store; a watch counts as one call" },
         { "pistachiospur_store_failures_total", "counter", "store calls that failed" },
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -98,6 +98,7 @@
 PISTACHIOSPUR_WIRE(HostListUpdate, std::tie(it.change))
 PISTACHIOSPUR_WIRE(InstanceId, std::tie(it.name, it.startTime))
 PISTACHIOSPUR_WIRE(RelayTurn, std::tie(it.id, it.instance, it.wait))
+PISTACHIOSPUR_WIRE(UpstreamDeparture, std::tie(it.instance))
 PISTACHIOSPUR_WIRE(RateNotice, std::tie(it.kind, it.perSecond))
 PISTACHIOSPUR_WIRE(RelayTurnOver, std::tie(it.id, it.reply, it.rate))
 PISTACHIOSPUR_WIRE(LoadReport::Run, std::tie(it.instance, it.runMs))
@@ -134,7 +135,7 @@
         = { "hello", "heartbeat", "replica_request", "replica_batch", "replica_snapshot", "upstream_report",
               "stop_renewing", "renewal_stopped", "release_query", "release_report", "relay", "relay_reply",
               "relay_cancel", "host_list_update", "load_report", "range_update", "host_leaving", "leader_announcement",
-              "leader_stepped_down", "watch_update", "relay_turn", "relay_turn_over" };
+              "leader_stepped_down", "watch_update", "relay_turn", "relay_turn_over", "upstream_departure" };
     return kNames.at(index);
 }
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -185,9 +185,15 @@
     Incarnation incarnation;
 };
 
+// An upstream has said in an answer to the sender that it leaves.
+struct UpstreamDeparture {
+    InstanceId instance;
+};
+
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
     StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListUpdate,
-    LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate, RelayTurn, RelayTurnOver>;
+    LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate, RelayTurn, RelayTurnOver,
+    UpstreamDeparture>;
 
 // The name of a kind of message, by its index in Message, for metrics.
 const char* messageKind(std::size_t index);
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -444,8 +444,11 @@
     const std::string id = headerText(request, "request-id");
     received.push_back({ id, request.method, request.target, request.body, headerText(request, "deadline-ms"), false });
     responder.onDisconnect([this, n] { received[n].callerGone = true; });
-    m_timers.push_back(std::make_unique<Timer>([responder, id, name = m_name, limit = statedLimit] {
-        HttpResponse response { 200, { { "Request-Id", id }, { "Server-Seal", "seal-" + id } }, "from " + name };
+    m_timers.push_back(std::make_unique<Timer>([this, responder, id, name = m_name, limit = statedLimit] {
+        HttpResponse response { 200, { { "Request-Id", id } }, "from " + name };
+        if (sealsAnswers)
+            response.headers.emplace_back("Server-Seal", "seal-" + id);
+        response.headers.insert(response.headers.end(), notices.begin(), notices.end());
         if (!limit.empty())
             response.headers.emplace_back("Server-Limit", limit);
         responder.respond(std::move(response));
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -159,6 +159,8 @@
 
     Millis runTime { 5 }; // of each request
     std::string statedLimit; // named in each answer, if not empty
+    std::vector<std::pair<std::string, std::string>> notices; // headers added to each answer to a request
+    bool sealsAnswers = true;
     bool crashed = false; // while set, every call fails
     Millis grantDelay {}; // if set, grants are not answered and take effect this late, unless it starts again
     std::vector<ReceivedRequest> received;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -54,7 +54,7 @@
 
 FakeStore* openedStore = nullptr;
 
-// Entries of upstreams hold their service's name, or "draining".
+// Entries of upstreams hold "draining" or any other word, then the start of the process and its heartbeats: "up 5 3".
 PlatformAdapter fakeAdapter()
 {
     PlatformAdapter adapter = platform::kvPlatformAdapter();
@@ -68,7 +68,6 @@
         UpstreamInstance instance;
         instance.id.name = name;
         instance.service = "pool";
-        // A number is the start of the process, then its heartbeats: "up 5 3".
         std::istringstream words(text);
         std::string state;
         words >> state >> instance.id.startTime.value >> instance.heartbeats;
@@ -240,6 +239,27 @@
     BOOST_TEST(host.directory.lapseGrace().count() > 0);
 }
 
+// Guards against requests to an upstream that said that it leaves: its entry says `ready`, or comes back from an older
+// copy of the store.
+BOOST_AUTO_TEST_CASE(departureOutlivesTheEntryAndEndsWithTheInstance)
+{
+    Fixture host;
+    host.store.answerLastRead(host.snapshot(100));
+    host.directory.setWatching(false);
+    BOOST_TEST(host.directory.recordDeparture({ "u1", { 5 } })); // known before its entry
+    BOOST_TEST(!host.directory.recordDeparture({ "u1", { 5 } }));
+    host.relay(100, 110, host.upstreamKey, "up 5");
+    BOOST_TEST(!host.isInUse("u1"));
+    host.relay(110, 120, host.upstreamKey, std::nullopt, Millis(1000)); // perhaps lapsed
+    BOOST_TEST(!host.isInUse("u1"));
+    host.relay(120, 130, host.upstreamKey, "up 5");
+    BOOST_TEST(!host.isInUse("u1"));
+    host.relay(130, 140, host.upstreamKey, "up 6");
+    BOOST_TEST(host.isInUse("u1"));
+    BOOST_TEST(host.directory.recordDeparture({ "u1", { 6 } }));
+    BOOST_TEST(!host.isInUse("u1"));
+}
+
 BOOST_AUTO_TEST_CASE(followerGivesTheGraceThatTheWatchingHostGrants)
 {
     for (const Millis grace : { Millis(0), Millis(1000) }) {
--- a/tests/translation_test.cpp
+++ b/tests/translation_test.cpp
@@ -276,6 +276,28 @@
     BOOST_TEST(std::holds_alternative<Answer>(platform::interpretAnswer(answer, request, "i-1")));
 }
 
+// Guards against what another upstream, or the answer to another request, says being taken for the upstream's word.
+BOOST_AUTO_TEST_CASE(noticesAreReadOnlyFromTheUpstreamsOwnAnswers)
+{
+    const auto isLeaving = [](int status, HeaderMap headers) {
+        headers.emplace("server-leaving", "1");
+        return platform::readNotice({ status, std::move(headers), "" }, "r1", "i-1").isLeaving;
+    };
+    for (const int status : { 200, 429, 500, 503 }) {
+        BOOST_TEST(isLeaving(status, { { "request-id", "r1" } }));
+        BOOST_TEST(isLeaving(status, {}));
+        BOOST_TEST(!isLeaving(status, { { "request-id", "r0" } }));
+        BOOST_TEST(!isLeaving(status, { { "instance-id", "i-2" } }));
+    }
+    BOOST_TEST(!isLeaving(421, { { "request-id", "r1" } }));
+    BOOST_TEST(!isLeaving(421, { { "instance-id", "i-2" } }));
+    BOOST_TEST(isLeaving(421, { { "instance-id", "i-1" } }));
+    for (const char* text : { "", "0", "true", "11" }) {
+        const HttpAnswer answer { 200, { { "server-leaving", text } }, "" };
+        BOOST_TEST(!platform::readNotice(answer, "r1", "i-1").isLeaving);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusalStatesNotRunOnlyIfTheUpstreamOrTheSocketProvesIt)
 {
     const Request request = sampleRequest();
