Pauses: an upstream that turns a host away for a time gets nothing from it until then

Cause: Retry-After of an upstream's 503 was read nowhere; the host only preferred other upstreams for 300 ms.

Why it works: pauses are kept by instance and by the host that sends, where the requests start. All requests of a host, orders included, pass one of four places: the choice of a pool's member (calls, the queue, repeats, what other hosts pass on), a turn that arrives, and a grant or release of the range leader. A turn that was given by a coordinator that does not know is given back with the time left. The queue passes over requests whose sender may not start them, so that they hold up no others. If no member takes requests from the sender, what waits is refused at once with the time left.

--- a/include/pistachiospur/request.h
+++ b/include/pistachiospur/request.h
@@ -70,6 +70,7 @@
     upstreamReplaced,
     memoryFull,
     unreadableRoute,
+    upstreamPaused,
     count, // number of reasons
 };
 
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -64,7 +64,12 @@
 struct UpstreamNotice {
     bool isLeaving = false; // the upstream ends soon and must not get new requests
 
-    friend bool operator==(const UpstreamNotice& a, const UpstreamNotice& b) { return a.isLeaving == b.isLeaving; }
+    Millis pause {}; // the upstream wants nothing from this host for so long
+
+    friend bool operator==(const UpstreamNotice& a, const UpstreamNotice& b)
+    {
+        return a.isLeaving == b.isLeaving && a.pause == b.pause;
+    }
 };
 
 struct PlatformAdapter {
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -58,6 +58,11 @@
 
 bool isSelf(const GatewayContext& context, const HostName& host) { return host == context.settings.host; }
 
+Millis ownPauseLeft(const GatewayContext& context, const InstanceId& instance, Millis now)
+{
+    return pauseLeft(context.pauses, instance, context.settings.host, now);
+}
+
 std::vector<HostName> otherHosts(const GatewayContext& context)
 {
     std::vector<HostName> others;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -3,6 +3,7 @@
 #include "directory.h"
 #include "observe/metrics.h"
 #include "peers/hub.h"
+#include "requests/pause.h"
 #include "requests/stop.h"
 
 #include <map>
@@ -45,6 +46,7 @@
     PeerHub hub;
     std::map<ServiceName, PendingRanges> pending;
     std::map<ServiceName, PoolGroups> groups;
+    Pauses pauses; // of this host, and of the hosts that send requests in turns which this host gives
     std::map<HostName, Millis> unreachableUntil; // hosts that get no new work until then: link lost, or stopping
     // Orders of hosts by name, as computed for the current hosts; see hostsFor() and firstHostFor().
     struct Rankings {
@@ -59,6 +61,8 @@
 };
 
 bool isSelf(const GatewayContext&, const HostName&);
+// The time until this host may send an instance anything, orders included; zero if it may now.
+Millis ownPauseLeft(const GatewayContext&, const InstanceId&, Millis now);
 // All hosts in the directory except this one.
 std::vector<HostName> otherHosts(const GatewayContext&);
 enum class HostOrder {
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -197,6 +197,10 @@
         added.callback(notRun(RefusalReason::notCoordinator));
         return 0;
     }
+    if (const Millis pause = pauseLeftFor(pool, added.origin, monotonicNow()); pause > Millis(0)) {
+        added.callback(pausedRefusal(pool, added.request.order, pause));
+        return 0;
+    }
     const JobId id = m_nextJob++;
     const WaitingRequest waiting { id, added.request.order, added.request.deadline };
     m_poolNames[id] = nameOf(pool);
@@ -209,6 +213,25 @@
     return m_poolNames.count(id) ? id : 0;
 }
 
+// The time until any available instance of a pool takes requests from the host that sends one; zero if one does now.
+Millis Dispatcher::pauseLeftFor(const Pool& pool, const RequestOrigin& origin, Millis now) const
+{
+    if (m_context.pauses.ends.empty())
+        return Millis(0);
+    std::optional<Millis> shortest;
+    for (const auto* member : availableMembers(pool, now)) {
+        const Millis left = pauseLeft(m_context.pauses, member->instance.id, origin.sender, now);
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest.value_or(Millis(0));
+}
+
+Refusal Dispatcher::pausedRefusal(const Pool& pool, RankOrder order, Millis pause) const
+{
+    return notRun(
+        RefusalReason::upstreamPaused, pool.policy.startsPerSecond ? std::max(pause, retryAfter(pool, order)) : pause);
+}
+
 // The available instance with a free slot and the lowest cost for a request, or null.
 const InstanceEntry* Dispatcher::chooseMember(Pool& pool, const RequestOrigin& origin, Millis now)
 {
@@ -218,7 +241,8 @@
         const InstanceEntry& entry = *candidate;
         const Member& member = pool.members[entry.instance.id];
         const auto pace = m_paces.find(entry.instance.id);
-        const bool isPaused = pace != m_paces.end() && timeToStart(pace->second, 0, now) > Millis(0);
+        const bool isPaused = (pace != m_paces.end() && timeToStart(pace->second, 0, now) > Millis(0))
+            || pauseLeft(m_context.pauses, entry.instance.id, origin.sender, now) > Millis(0);
         if (member.running >= entry.instance.slots || isPaused)
             continue;
         const bool isNear = entry.instance.dataCentre == origin.dataCentre;
@@ -238,7 +262,10 @@
         const Millis now = monotonicNow();
         if (!chooseMember(pool, {}, now))
             return;
-        const auto next = startNext(pool.queue, pool.policy, now);
+        const auto isStartable
+            = [&](const WaitingRequest& it) { return chooseMember(pool, pool.jobs.at(it.id).origin, now) != nullptr; };
+        const auto next = startNext(
+            pool.queue, pool.policy, now, m_context.pauses.ends.empty() ? IsStartable() : IsStartable(isStartable));
         if (!next)
             return;
         sendToUpstream(pool, next->id, *chooseMember(pool, pool.jobs.at(next->id).origin, now));
@@ -261,11 +288,16 @@
             Reply reply, const RateNotice& rate) { onReply(pool, id, std::move(reply), rate); });
 }
 
-void Dispatcher::endTurn(JobId id, Reply reply, const RateNotice& rate)
+void Dispatcher::endTurn(JobId id, Reply reply, const RateNotice& rate, Millis pause)
 {
     const auto pool = m_poolNames.find(id);
-    if (pool != m_poolNames.end() && m_pools.at(pool->second).jobs.at(id).running)
-        onReply(std::string(pool->second), id, std::move(reply), rate);
+    if (pool == m_poolNames.end())
+        return;
+    const Job& job = m_pools.at(pool->second).jobs.at(id);
+    if (!job.running)
+        return;
+    notePause(m_context.pauses, job.instance, job.origin.sender, pause, monotonicNow());
+    onReply(std::string(pool->second), id, std::move(reply), rate);
 }
 
 // Keeps the limit that an upstream states, and logs when that begins or ends.
@@ -295,7 +327,7 @@
     noteRate(job, rate, now);
     Member& member = pool.members[job.instance];
     const auto* refusal = std::get_if<Refusal>(&reply);
-    if (refusal && refusal->ran == Ran::no) {
+    if (refusal && refusal->ran == Ran::no && refusal->reason != RefusalReason::upstreamPaused) {
         member.avoidedUntil = now + kAvoidTime;
     } else if (!refusal) {
         const double ms = static_cast<double>((now - job.startedAt).count());
@@ -303,9 +335,14 @@
     }
     const bool replaced = refusal && refusal->reason == RefusalReason::upstreamReplaced;
     const InstanceId instance = job.instance;
+    const Millis pause = pauseLeftFor(pool, job.origin, now);
+    if (refusal && refusal->reason == RefusalReason::upstreamShed && pause > Millis(0))
+        reply = pausedRefusal(pool, job.request.order, pause);
     finish(pool, id, std::move(reply));
     if (replaced)
         m_context.directory.recordEnded(instance);
+    if (pause > Millis(0))
+        refusePaused(pool);
     startWaiting(pool);
 }
 
@@ -358,18 +395,20 @@
         }
     }
     for (const auto id : overdue)
-        endTurn(id, maybeRun(RefusalReason::upstreamTimeout), {});
+        endTurn(id, maybeRun(RefusalReason::upstreamTimeout), {}, Millis(0));
 }
 
 void Dispatcher::tick()
 {
     const Millis now = monotonicNow();
     endOverdueTurns();
+    removeEnded(m_context.pauses, now);
     for (auto& [name, pool] : m_pools) {
         if (waitingCount(pool.queue) == 0)
             continue;
         for (const auto& dropped : dropLate(pool.queue, pool.policy, now))
             finish(pool, dropped.id, notRun(RefusalReason::queueFull, retryAfter(pool, dropped.order)));
+        refusePaused(pool);
         startWaiting(pool);
     }
 }
@@ -417,6 +456,29 @@
     }
 }
 
+// Refuses the waiting requests that no available upstream of the pool wants from their senders.
+void Dispatcher::refusePaused(Pool& pool)
+{
+    if (m_context.pauses.ends.empty())
+        return;
+    const Millis now = monotonicNow();
+    std::map<HostName, Millis> pauseBySender;
+    std::vector<std::pair<JobId, Refusal>> paused;
+    for (const auto& [id, job] : pool.jobs) {
+        if (job.running)
+            continue;
+        const auto [pause, added] = pauseBySender.try_emplace(job.origin.sender);
+        if (added)
+            pause->second = pauseLeftFor(pool, job.origin, now);
+        if (pause->second > Millis(0))
+            paused.emplace_back(id, pausedRefusal(pool, job.request.order, pause->second));
+    }
+    for (const auto& [id, refusal] : paused) {
+        removeWaiting(pool.queue, id);
+        finish(pool, id, refusal);
+    }
+}
+
 void Dispatcher::refresh()
 {
     for (auto it = m_paces.begin(); it != m_paces.end();)
@@ -428,6 +490,7 @@
                 finish(pool, waiting.id, notRun(RefusalReason::notCoordinator));
         }
         refuseMoved(pool);
+        refusePaused(pool);
         startWaiting(pool);
     }
 }
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -23,6 +23,7 @@
 struct RequestOrigin {
     DataCentreName dataCentre; // of the host that sends the request to the upstream
     bool hasLargeBody = false;
+    HostName sender {}; // the host that sends the request to the upstream
 };
 
 using SendCallback = std::function<void(Reply, const RateNotice&)>;
@@ -46,8 +47,9 @@
     // which it keeps until endTurn(), or until its deadline. The callback runs instead if the request is refused
     // before.
     JobId submitForTurn(const UpstreamName&, Request, Callback, TurnCallback, RequestOrigin);
-    // Frees the slot of a request that had its turn.
-    void endTurn(JobId, Reply, const RateNotice&);
+    // Frees the slot of a request that had its turn. `pause` is how much longer the upstream wants nothing from the
+    // request's sender.
+    void endTurn(JobId, Reply, const RateNotice&, Millis pause);
     // Drops a waiting request. A running request is aborted only if it is idempotent.
     void cancel(JobId);
     // Refuses waiting requests that can no longer meet their deadline, and starts others.
@@ -98,6 +100,9 @@
     void refreshPolicy(Pool&);
     void refreshSlots(Pool&);
     void refuseMoved(Pool&);
+    void refusePaused(Pool&);
+    Millis pauseLeftFor(const Pool&, const RequestOrigin&, Millis now) const;
+    Refusal pausedRefusal(const Pool&, RankOrder, Millis pause) const;
     const InstanceEntry* chooseMember(Pool&, const RequestOrigin&, Millis now);
     std::vector<const InstanceEntry*> availableMembers(const Pool&, Millis now) const;
     void startWaiting(Pool&);
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -50,6 +50,7 @@
 {
     switch (reason) {
     case RefusalReason::queueFull:
+    case RefusalReason::upstreamPaused:
     case RefusalReason::noOwner:
     case RefusalReason::memoryFull:
     case RefusalReason::hostUnreachable:
@@ -287,7 +288,8 @@
             onReply(id, attemptNumber, std::move(reply), wait);
         },
         { pending.rest, pending.bodyBytes },
-        { m_context.settings.dataCentre, pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes });
+        { m_context.settings.dataCentre, pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes,
+            m_context.settings.host });
     const auto found = m_pending.find(id);
     if (found != m_pending.end() && found->second->attempt == attemptNumber)
         found->second->job = job;
@@ -313,20 +315,25 @@
         m_context.hub.send(from, RelayTurnOver { turn.id, refused, {} });
         return onReply(id, attempt, refused);
     }
+    if (const Millis pause = ownPauseLeft(m_context, turn.instance, monotonicNow()); pause > Millis(0)) {
+        m_context.hub.send(from, RelayTurnOver { turn.id, notRun(RefusalReason::upstreamPaused, pause), {}, pause });
+        // The coordinator did not know; it chooses again, or refuses if there is no other upstream.
+        return onReply(id, attempt, notRun(RefusalReason::notCoordinator));
+    }
     pending.state = State::sending;
     pending.link = kNoLink; // from here on the request does not depend on the coordinator
     pending.call = sendRequest(m_context, upstream->instance, pending.request, { pending.rest, pending.bodyBytes },
         [this, id, attempt, turn, from](Reply reply, const RateNotice& rate) {
-            endTurn(from, turn.id, reply, rate);
+            endTurn(from, turn.id, reply, rate, ownPauseLeft(m_context, turn.instance, monotonicNow()));
             onReply(id, attempt, std::move(reply), turn.wait);
         });
 }
 
 // Tells the coordinator how the request ended, without headers and body.
 void GatewayFrontend::endTurn(
-    const HostName& coordinator, std::uint64_t relay, const Reply& reply, const RateNotice& rate)
+    const HostName& coordinator, std::uint64_t relay, const Reply& reply, const RateNotice& rate, Millis pause)
 {
-    RelayTurnOver over { relay, reply, rate };
+    RelayTurnOver over { relay, reply, rate, pause };
     if (const auto* answer = std::get_if<Answer>(&reply))
         over.reply = Answer { answer->status, {}, {} };
     m_context.hub.send(coordinator, over);
@@ -427,6 +434,7 @@
         return pending.refusedAttempts < std::max(2u, pending.maxAttempts)
             && spendRetry(m_retryWindowBudgets[request.service], retryWindowPolicy(), now);
     case RefusalReason::memoryFull:
+    case RefusalReason::upstreamPaused:
     case RefusalReason::queueFull: {
         // Another group may have a free place in its queue.
         const auto groups = m_context.groups.find(request.service);
@@ -496,7 +504,7 @@
     const bool bodyArriving = pending.rest && !pending.rest->isAtEnd();
     if (pending.state == State::sending && (pending.request.idempotent || bodyArriving)) {
         m_context.http.cancel(pending.call);
-        endTurn(pending.coordinator, relay, reply, {});
+        endTurn(pending.coordinator, relay, reply, {}, Millis(0));
     }
     complete(id, reply);
     if (link != kNoLink)
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -82,7 +82,7 @@
     void forward(RequestId, const UpstreamName&, const DataCentreName& preferredDataCentre);
     unsigned chooseGroupFor(const PendingRequest&);
     void recordGroupLoad(PendingRequest&, const Reply&, Millis wait);
-    void endTurn(const HostName& coordinator, std::uint64_t relay, const Reply&, const RateNotice&);
+    void endTurn(const HostName& coordinator, std::uint64_t relay, const Reply&, const RateNotice&, Millis pause);
     void waitForRange(RequestId, Millis readyIn);
     void onReply(RequestId, unsigned attempt, Reply, Millis wait = Millis(0));
     bool approveRetry(PendingRequest&, const Refusal&);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -169,7 +169,7 @@
             },
             [&](const RelayTurn& received) { m_frontend.onTurn(from, received); },
             [&](RelayTurnOver& received) {
-                onTurnOver({ from, received.id }, std::move(received.reply), received.rate);
+                onTurnOver({ from, received.id }, std::move(received.reply), received.rate, received.pause);
             },
             [&](const LoadReport& report) {
                 const auto leader = m_leaders.find(report.service);
@@ -231,7 +231,8 @@
     };
     // The entry exists before the request is queued, because the turn may come at once.
     m_relayedRequests[key] = std::move(relayed);
-    const RequestOrigin origin { relay.turnOnly ? relay.origin : m_context.settings.dataCentre, relay.hasLargeBody };
+    const RequestOrigin origin { relay.turnOnly ? relay.origin : m_context.settings.dataCentre, relay.hasLargeBody,
+        relay.turnOnly ? from : m_context.settings.host };
     const auto job = relay.turnOnly
         ? m_dispatcher.submitForTurn(
             relay.upstream, std::move(relay.request), onReply,
@@ -254,11 +255,11 @@
         m_dispatcher.cancel(found->second.job);
 }
 
-void Gateway::onTurnOver(const RelayKey& key, Reply reply, const RateNotice& rate)
+void Gateway::onTurnOver(const RelayKey& key, Reply reply, const RateNotice& rate, Millis pause)
 {
     const auto found = m_relayedRequests.find(key);
     if (found != m_relayedRequests.end() && found->second.hadTurn)
-        m_dispatcher.endTurn(found->second.job, std::move(reply), rate);
+        m_dispatcher.endTurn(found->second.job, std::move(reply), rate, pause);
 }
 
 // Cancels the requests that arrived over a lost link, because the peer has given them up.
@@ -271,7 +272,7 @@
             orphans.push_back(key);
     }
     for (const auto& key : orphans) {
-        onTurnOver(key, maybeRun(RefusalReason::hostLost), {});
+        onTurnOver(key, maybeRun(RefusalReason::hostLost), {}, Millis(0));
         onRelayCancel(key);
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,7 +40,7 @@
     void onMessage(const HostName& from, LinkId, Message);
     void onRelay(const HostName& from, LinkId, Relay);
     void onRelayCancel(const RelayKey&);
-    void onTurnOver(const RelayKey&, Reply, const RateNotice&);
+    void onTurnOver(const RelayKey&, Reply, const RateNotice&, Millis pause);
     void onLinkLost(const LostLink&);
     void onRangeUpdate(RangeUpdate);
     void onDirectoryChange();
--- a/src/gateway/notices.cpp
+++ b/src/gateway/notices.cpp
@@ -7,6 +7,13 @@
 void takeNotice(
     GatewayContext& context, const InstanceId& instance, const UpstreamNotice& notice, const std::string& sentId)
 {
+    const Millis now = monotonicNow();
+    if (notePause(context.pauses, instance, context.settings.host, notice.pause, now)) {
+        logEvent(EventKind::state, "upstream_paused",
+            { { "upstream", instance.name }, { "born", instance.startTime.value }, { "ms", notice.pause.count() },
+                { "request", sentId } });
+        context.metrics.count("pistachiospur_upstream_notices_total", { { "kind", "paused" } });
+    }
     if (!notice.isLeaving || !context.directory.recordDeparture(instance))
         return;
     logEvent(EventKind::state, "upstream_leaving",
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -58,7 +58,8 @@
 void RangeLeader::grantWithinLimits(const Range& range, RangeState& state)
 {
     const InstanceEntry* owner = m_context.directory.findInstance(range.owner);
-    if (owner && isBelowGrantLimits(range.owner, state.lastGrantFailed))
+    if (owner && ownPauseLeft(m_context, range.owner, monotonicNow()) == Millis(0)
+        && isBelowGrantLimits(range.owner, state.lastGrantFailed))
         sendGrant(range, state, owner->instance);
 }
 
@@ -130,7 +131,8 @@
     // until the other hosts have the update on the move and send this upstream no more requests for the range.
     const bool announced = m_announcedRevision == m_tableRevision && monotonicNow() >= m_announcedAt + kAnnounceDelay;
     if (validUntil && known && announced && !previousOwner.released && !previousOwner.releasing
-        && monotonicNow() >= previousOwner.nextReleaseAt)
+        && monotonicNow() >= previousOwner.nextReleaseAt
+        && ownPauseLeft(m_context, known->instance.id, monotonicNow()) == Millis(0))
         sendRelease(range, instance, previousOwner, known->instance);
     if (validUntil && (previousOwner.released || previousOwner.releasing || !known))
         previousOwner.nextCheckAt = std::min(bootNow() + kClearCheckInterval, *validUntil);
@@ -281,7 +283,7 @@
         auto& [instance, upstream] = *it++;
         const Range* range = findRange(m_table, upstream.probeRange.first);
         const bool owns = range && range->owner == instance;
-        if (owns || now < upstream.nextProbeAt)
+        if (owns || now < upstream.nextProbeAt || ownPauseLeft(m_context, instance, now) > Millis(0))
             continue;
         upstream.nextProbeAt = now + kProbeInterval;
         const ReleaseOrder order { upstream.probeRange.first, upstream.probeRange.first, upstream.probeRange.fence,
@@ -289,6 +291,7 @@
         HttpCall call = m_context.adapter.releaseCall(entry->instance, order);
         call.timeout = Millis(m_context.settings.limits.orderTimeoutMs);
         m_context.http.start(std::move(call), [this, instance = instance, id = order.id](const HttpOutcome& outcome) {
+            takeOrderNotice(m_context, instance, outcome, id);
             if (m_context.adapter.interpretRelease(outcome, id).verdict == OrderVerdict::done)
                 m_unreachable.erase(instance);
         });
@@ -318,7 +321,7 @@
 Millis RangeLeader::estimateReadyIn(const Range& range, const RangeState& state) const
 {
     const Millis now = bootNow();
-    Millis longest = kReleaseEstimate / 2;
+    Millis longest = std::max(kReleaseEstimate / 2, ownPauseLeft(m_context, range.owner, monotonicNow()));
     for (const auto& instance : range.previous) {
         const auto previousOwner = state.previousOwners.find(instance);
         if (previousOwner != state.previousOwners.end()
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -110,6 +110,7 @@
     std::uint64_t id = 0;
     Reply reply; // an answer without headers and body, or the refusal
     RateNotice rate {}; // what the upstream's answer says of its limit
+    Millis pause {}; // how much longer the upstream wants nothing from the sender
 };
 
 // Cancels a relayed request, because the caller has disconnected or the deadline has passed.
--- a/src/requests/queue.cpp
+++ b/src/requests/queue.cpp
@@ -46,13 +46,19 @@
     return it == queue.lanes.end() || hasShortRuns(queue, it->second) || it->second.running + 1 < policy.maxConcurrent;
 }
 
+// The request of a rank that starts next; the end if there is none.
+std::deque<WaitingRequest>::iterator findStartable(RankLane& lane, const IsStartable& isStartable)
+{
+    return isStartable ? std::find_if(lane.waiting.begin(), lane.waiting.end(), isStartable) : lane.waiting.begin();
+}
+
 // Chooses the rank that starts next: the most urgent rank that has a start in credit, or else the most urgent rank with
 // waiting requests.
-RankLane* chooseLane(UpstreamQueue& queue, const QueuePolicy& policy, Millis now)
+RankLane* chooseLane(UpstreamQueue& queue, const QueuePolicy& policy, Millis now, const IsStartable& isStartable)
 {
     RankLane* mostUrgent = nullptr;
     for (auto& [order, lane] : queue.lanes) {
-        if (lane.waiting.empty() || !mayStart(queue, policy, order, now))
+        if (!mayStart(queue, policy, order, now) || findStartable(lane, isStartable) == lane.waiting.end())
             continue;
         if (lane.credit >= 1)
             return &lane;
@@ -154,13 +160,15 @@
     return std::nullopt;
 }
 
-std::optional<WaitingRequest> startNext(UpstreamQueue& queue, const QueuePolicy& policy, Millis now)
+std::optional<WaitingRequest> startNext(
+    UpstreamQueue& queue, const QueuePolicy& policy, Millis now, const IsStartable& isStartable)
 {
-    RankLane* lane = chooseLane(queue, policy, now);
+    RankLane* lane = chooseLane(queue, policy, now, isStartable);
     if (!lane)
         return std::nullopt;
-    const WaitingRequest next = lane->waiting.front();
-    lane->waiting.pop_front();
+    const auto found = findStartable(*lane, isStartable);
+    const WaitingRequest next = *found;
+    lane->waiting.erase(found);
     updateCredits(queue, policy, *lane);
     ++lane->running;
     ++queue.running;
--- a/src/requests/queue.h
+++ b/src/requests/queue.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -66,9 +67,11 @@
 
 // Adds a request, or returns the reason for refusing it: its rank's queue is full, or it would miss its deadline.
 std::optional<RefusalReason> enqueue(UpstreamQueue&, const QueuePolicy&, const WaitingRequest&, Millis now);
+using IsStartable = std::function<bool(const WaitingRequest&)>;
 // Removes and returns the request that starts next, if there is one that may take a free execution slot. finishRun()
-// must be called when the request ends.
-std::optional<WaitingRequest> startNext(UpstreamQueue&, const QueuePolicy&, Millis now);
+// must be called when the request ends. Requests for which `isStartable` is false are passed over.
+std::optional<WaitingRequest> startNext(
+    UpstreamQueue&, const QueuePolicy&, Millis now, const IsStartable& isStartable = {});
 // Removes and returns the requests that can no longer be answered by their deadline.
 std::vector<WaitingRequest> dropLate(UpstreamQueue&, const QueuePolicy&, Millis now);
 // Removes one waiting request. Returns false if it is not in the queue.
--- a/src/requests/refusal.cpp
+++ b/src/requests/refusal.cpp
@@ -36,6 +36,7 @@
     { "upstream-replaced", 503, "Another upstream has the address now", true },
     { "memory-full", 503, "The bodies in transit use all the memory that they may", true },
     { "unreadable-route", 503, "This version cannot read the route's configuration", false },
+    { "upstream-paused", 503, "The upstream wants no requests for a while", false },
 } };
 
 } // namespace
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -378,6 +378,12 @@
     const std::string target = headerText(request, "target-instance");
     if (!target.empty() && target != m_name)
         return responder.respond({ 421, { { "Instance-Id", m_name } }, "" });
+    callTimes.push_back(monotonicNow());
+    if (!turnsAwayFor.empty())
+        return responder.respond({ 503,
+            { { "Request-Id", headerText(request, "request-id") }, { "Not-Executed", "1" },
+                { "Retry-After", turnsAwayFor } },
+            "" });
     if (request.path == "/grant" && grantDelay > Millis(0)) {
         m_timers.push_back(
             std::make_unique<Timer>([this, request, responder, arrivedAt = monotonicNow(), startTime = m_startTime] {
--- a/tests/decoders_test.cpp
+++ b/tests/decoders_test.cpp
@@ -67,7 +67,7 @@
     const std::vector<Message> messages = { Hello { "h", { 3 }, true }, Relay { 1, "u", request, "z", true, true },
         RelayReply { 1, Answer { 200, { { "a", "b" } }, "body" }, Millis(3) },
         RelayReply { 1, notRun(RefusalReason::queueFull), Millis(3) }, RelayTurn { 4, { "u", { 1 } }, Millis(1) },
-        RelayTurnOver { 4, maybeRun(RefusalReason::upstreamBroken), { RateNotice::Kind::limited, 2.5 } },
+        RelayTurnOver { 4, maybeRun(RefusalReason::upstreamBroken), { RateNotice::Kind::limited, 2.5 }, Millis(1500) },
         UpstreamDeparture { { "u", { 7 } } }, LoadReport { "s", { { 1, 2 } }, { { { "u", { 1 } }, 3.5 } } },
         RangeUpdate { "s", { 4 }, { 3 }, table, { { { 0 }, { 9 }, Millis(5) } } },
         WatchUpdate {
--- a/tests/notices_test.cpp
+++ b/tests/notices_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway_fixture.h"
 
-// Tests over real sockets of what upstreams say of themselves in their answers: that they leave.
+// Tests over real sockets of what upstreams say of themselves in their answers: that they leave, or want no
+// requests for a while.
 using namespace pistachiospur;
 using namespace pistachiospur::standin;
 
@@ -101,4 +102,95 @@
     BOOST_TEST(site.send("/pool/x", "r2").status == 200);
 }
 
+// Guards against calls, renewals of grants included, to an upstream that has said for how long it wants none.
+BOOST_AUTO_TEST_CASE(oneOwnerThatAsksForAPauseGetsNothingUntilItsEnd)
+{
+    Fixture site(1);
+    BOOST_REQUIRE(site.waitUntilServed());
+    RangeUpstream& owner = *site.holder(kSlot);
+    owner.turnsAwayFor = "2";
+    const Millis begin = monotonicNow();
+    std::size_t refused = 0;
+    for (int n = 0; monotonicNow() < begin + Millis(1900); ++n) {
+        const HttpAnswer answer = site.send("/get/x", "r" + std::to_string(n));
+        BOOST_REQUIRE(answer.status == 503);
+        const double left = std::chrono::duration<double>(begin + Millis(2000) - monotonicNow()).count();
+        const double stated = std::stod(answer.headers.at("retry-after"));
+        // The pause may begin with the answer to a renewal, shortly before or after the first request.
+        BOOST_TEST(stated > left - 0.1);
+        BOOST_TEST(stated < left + 0.6);
+        ++refused;
+        waitFor(site, Millis(20));
+    }
+    BOOST_TEST(refused > 20u);
+    const auto isPaused = [&](Millis at) { return at >= begin + Millis(500) && at < begin + Millis(2000); };
+    BOOST_TEST(std::count_if(owner.callTimes.begin(), owner.callTimes.end(), isPaused) == 0);
+    owner.turnsAwayFor.clear();
+    BOOST_TEST(site.runLoopUntil([&] { return site.send("/get/x", "after").status == 200; }, Millis(1500)));
+    BOOST_TEST(site.holder(kSlot) == &owner);
+}
+
+// Guards against requests that wait until their deadline for an upstream that is known to take none until later.
+BOOST_AUTO_TEST_CASE(waitingRequestsOfTheOneOwnerAreRefusedAtOnceWithTheTimeLeft)
+{
+    Fixture site(1);
+    BOOST_REQUIRE(site.waitUntilServed());
+    RangeUpstream& owner = *site.holder(kSlot);
+    owner.runTime = Millis(300);
+    std::vector<HttpAnswer> answers;
+    for (int n = 0; n < 10; ++n)
+        site.client.start(site.call("/get/x", "r" + std::to_string(n)), [&](HttpOutcome outcome) {
+            const auto* answer = std::get_if<HttpAnswer>(&outcome);
+            answers.push_back(answer ? *answer : HttpAnswer {});
+        });
+    BOOST_REQUIRE(
+        site.runLoopUntil([&, before = owner.received.size()] { return owner.received.size() == before + 2; }));
+    owner.turnsAwayFor = "1.5";
+    const Millis begin = monotonicNow();
+    BOOST_TEST(site.runLoopUntil([&] { return answers.size() == 10; }));
+    BOOST_TEST((monotonicNow() - begin).count() < 700);
+    std::size_t refused = 0;
+    for (const auto& answer : answers) {
+        if (answer.status == 200)
+            continue;
+        ++refused;
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(std::stod(answer.headers.at("retry-after")) > 1);
+        BOOST_TEST(std::stod(answer.headers.at("retry-after")) <= 1.5);
+    }
+    BOOST_TEST(refused == 8u);
+}
+
+// Guards against requests that hosts send in turns, which their coordinator gives them, to an upstream that wants none.
+BOOST_AUTO_TEST_CASE(upstreamOfAGroupThatAsksForAPauseIsLeftOutAndTheOthersServe)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed(0));
+    BOOST_REQUIRE(site.waitUntilServed(1));
+    RangeUpstream& first = *site.upstreams.back();
+    RangeUpstream& second = site.add("pool", "p1");
+    waitFor(site, Millis(700));
+    first.turnsAwayFor = "30";
+    const std::size_t before = first.callTimes.size();
+    // The request that is turned away is sent once more, to the other upstream.
+    BOOST_TEST(countServed(site, "/pool/x", "one", 30) == 30u);
+    BOOST_TEST(first.callTimes.size() <= before + 2); // one from each host
+    BOOST_TEST(second.received.size() == 30u);
+    // The whole group: refused at once, and nothing reaches an upstream.
+    second.turnsAwayFor = "20";
+    for (int n = 0; n < 2; ++n)
+        BOOST_TEST(site.send("/pool/x", "last" + std::to_string(n), static_cast<std::size_t>(n)).status == 503);
+    const std::size_t calls = first.callTimes.size() + second.callTimes.size();
+    BOOST_TEST(second.callTimes.size() <= 32u);
+    for (int n = 0; n < 10; ++n) {
+        const Millis sentAt = monotonicNow();
+        const HttpAnswer answer = site.send("/pool/x", "all" + std::to_string(n), static_cast<std::size_t>(n % 2));
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(std::stod(answer.headers.at("retry-after")) > 15); // the shorter of the two pauses
+        BOOST_TEST(std::stod(answer.headers.at("retry-after")) <= 20);
+        BOOST_TEST((monotonicNow() - sentAt).count() < 300);
+    }
+    BOOST_TEST(first.callTimes.size() + second.callTimes.size() == calls);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/translation_test.cpp
+++ b/tests/translation_test.cpp
@@ -298,6 +298,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(onlyAnswersOfUnavailableUpstreamsAskForAPause)
+{
+    const auto pauseOf = [](int status, const char* text) {
+        return platform::readNotice({ status, { { "retry-after", text } }, "" }, "r1", "i-1").pause.count();
+    };
+    BOOST_TEST(pauseOf(503, "1.5") == 1500);
+    BOOST_TEST(pauseOf(503, "0") == 0);
+    BOOST_TEST(pauseOf(503, "later") == 0);
+    BOOST_TEST(pauseOf(429, "1.5") == 0);
+    BOOST_TEST(pauseOf(200, "1.5") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(refusalStatesNotRunOnlyIfTheUpstreamOrTheSocketProvesIt)
 {
     const Request request = sampleRequest();
