OWNER: a leader of an earlier era steps down for one elected after it

What callers could see: two upstreams with one key, after a return of the store in which two hosts had led the earlier era without hearing of each other.

Cause: a host that knew of the new era and had not been elected again answered an announcement of the earlier era with "stepped down" although it still led, since the directory takes no records of an earlier era any more. And the first write of a table in a new era expected the counter of the earlier era's table, which the new era may have given to a table that this host has not read.

Why it works: the announcement itself is compared with this host's record, and a host that still leads answers with its own. The first write of an era expects no table, so that a conflict shows what is there.

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -176,7 +176,11 @@
     m_context.directory.recordLeader(
         received.service, { received.host, received.incarnation, received.lease, received.claim, received.revision });
     updateLeadership();
-    if (m_isLeader && m_recordRevision > received.revision)
+    // A record of an earlier era, which the directory does not take any more, still names a later leader than this
+    // host.
+    if (m_isLeader && m_recordRevision < received.revision)
+        stepDown("another host was elected later");
+    if (m_isLeader)
         return announcement();
     return LeaderSteppedDown { m_service, m_context.incarnation, received.revision };
 }
@@ -618,8 +622,12 @@
         text = encode(table);
     }
     m_writing = true;
+    // What an earlier era had at the table's key says nothing, although its revision may have been given out again. The
+    // conflict then shows what is there.
+    const bool isOfThisEra = eraOf(m_tableRevision) == eraOf(m_recordRevision);
+    const StoreRevision expected = m_storedTable.value_or(isOfThisEra ? m_tableRevision : StoreRevision {});
     const ConditionalWrite write { { { claimKey(m_service, m_claim), m_recordRevision },
-                                       { tableKey(m_service), m_storedTable.value_or(m_tableRevision) } },
+                                       { tableKey(m_service), expected } },
         { { tableKey(m_service), text, kNoLease } } };
     m_context.directory.store().write(write, [this, text](const WriteResult& result) { onTableWritten(text, result); });
 }
