--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -48,19 +48,6 @@
     return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-// Whether an entry that is read in a later era than the known one is older than that: it is of an earlier process, or
-// its upstream has said since that it leaves, or has left. An upstream that lives writes its entry again, with a higher
-// heartbeat count.
-bool isFromOlderCopy(const InstanceEntry& known, const UpstreamInstance& read, StoreRevision version)
-{
-    if (eraOf(version) <= eraOf(known.version))
-        return false;
-    if (read.id != known.instance.id)
-        return read.id.startTime < known.instance.id.startTime;
-    return (known.instance.draining && !read.draining)
-        || (known.entryGone && read.heartbeats <= known.instance.heartbeats);
-}
-
 Json parse(const KeyChange& change) { return change.text ? Json::parse(*change.text, nullptr, false) : Json(); }
 
 } // namespace
@@ -379,70 +366,6 @@
     }
 }
 
-void Directory::applyUpstream(const UpstreamName& name, const KeyChange& change)
-{
-    std::optional<UpstreamInstance> instance;
-    if (change.text) {
-        instance = leaf::try_handle_all(
-            [&]() -> leaf::result<std::optional<UpstreamInstance>> {
-                BOOST_LEAF_AUTO(decoded, m_adapter.decodeUpstream(name, *change.text));
-                return std::optional(std::move(decoded));
-            },
-            [&](const DocumentError& error) -> std::optional<UpstreamInstance> {
-                logEvent(EventKind::state, "upstream_entry_refused",
-                    { { "upstream", name },
-                        { "reason", error.faults.empty() ? "not a JSON object" : describe(error.faults.front()) } });
-                return std::nullopt;
-            },
-            []() -> std::optional<UpstreamInstance> { return std::nullopt; });
-    }
-    if (!instance)
-        return applyUpstreamGone(name, change);
-    if (m_endedInstances.count(instance->id))
-        return;
-    const Millis now = monotonicNow();
-    const auto known = m_instances.find(name);
-    const bool isKnown = known != m_instances.end() && known->second.instance.id == instance->id;
-    if (known != m_instances.end() && isFromOlderCopy(known->second, *instance, change.version)) {
-        logEvent(EventKind::state, "upstream_entry_outdated",
-            { { "upstream", name }, { "born", instance->id.startTime.value },
-                { "known_born", known->second.instance.id.startTime.value }, { "draining", instance->draining } });
-        return;
-    }
-    InstanceEntry entry { *instance, std::nullopt, false, change.version };
-    if (instance->draining)
-        entry.noNewWorkFrom = isKnown && known->second.noNewWorkFrom.value_or(now) <= now
-            ? known->second.noNewWorkFrom.value_or(now)
-            : now;
-    if (const auto departure = m_departures.find(instance->id); departure != m_departures.end())
-        entry.noNewWorkFrom = std::min(departure->second, entry.noNewWorkFrom.value_or(departure->second));
-    if (isKnown && known->second.instance == *instance && !known->second.entryGone) {
-        known->second = std::move(entry);
-        return;
-    }
-    logEvent(EventKind::state, "upstream",
-        { { "upstream", name }, { "born", instance->id.startTime.value }, { "service", instance->service },
-            { "endpoint", instance->endpoint.text() }, { "data_centre", instance->dataCentre },
-            { "draining", instance->draining }, { "revision", change.version.value } });
-    m_instances[name] = std::move(entry);
-}
-
-void Directory::applyUpstreamGone(const UpstreamName& name, const KeyChange& change)
-{
-    const auto known = m_instances.find(name);
-    if (known == m_instances.end() || known->second.entryGone)
-        return;
-    const Millis now = monotonicNow();
-    const bool mayHaveLapsed = !change.text && now < m_lapseGraceEnd;
-    known->second.entryGone = true;
-    known->second.version = change.version;
-    m_nextRemovalAt = Millis(0);
-    if (!known->second.noNewWorkFrom)
-        known->second.noNewWorkFrom = mayHaveLapsed ? m_lapseGraceEnd : now;
-    logEvent(EventKind::state, "upstream_entry_gone",
-        { { "upstream", name }, { "revision", change.version.value }, { "perhaps_lapsed", mayHaveLapsed } });
-}
-
 void Directory::applyHost(const HostName& name, const KeyChange& change)
 {
     const Json record = parse(change);
@@ -553,45 +476,6 @@
     return it == m_tables.end() ? nullptr : &it->second;
 }
 
-const InstanceEntry* Directory::findInstance(const InstanceId& id) const
-{
-    const auto it = m_instances.find(id.name);
-    return it == m_instances.end() || it->second.instance.id != id ? nullptr : &it->second;
-}
-
-const InstanceEntry* Directory::findSameOrLaterInstance(const InstanceId& id) const
-{
-    const auto it = m_instances.find(id.name);
-    return it == m_instances.end() || it->second.instance.id.startTime < id.startTime ? nullptr : &it->second;
-}
-
-void Directory::recordEnded(const InstanceId& id)
-{
-    if (!m_endedInstances.insert(id).second)
-        return;
-    logEvent(EventKind::state, "upstream_ended",
-        { { "upstream", id.name }, { "born", id.startTime.value },
-            { "reason", "another upstream answers at its address" } });
-    const auto it = m_instances.find(id.name);
-    if (it == m_instances.end() || it->second.instance.id != id)
-        return;
-    it->second.entryGone = true;
-    m_nextRemovalAt = Millis(0);
-    it->second.noNewWorkFrom = std::min(monotonicNow(), it->second.noNewWorkFrom.value_or(monotonicNow()));
-    m_onChange();
-}
-
-bool Directory::recordDeparture(const InstanceId& id)
-{
-    const auto [departure, added] = m_departures.emplace(id, monotonicNow());
-    const auto it = m_instances.find(id.name);
-    if (!added || it == m_instances.end() || it->second.instance.id != id)
-        return added;
-    it->second.noNewWorkFrom = std::min(departure->second, it->second.noNewWorkFrom.value_or(departure->second));
-    m_onChange();
-    return true;
-}
-
 void Directory::tick()
 {
     const Millis now = monotonicNow();
