--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -492,6 +492,8 @@
     std::vector<RequestId> open;
     for (const auto& [id, pending] : m_pending)
         open.push_back(id);
+    if (!open.empty())
+        logEvent(EventKind::state, "requests_cut", { { "requests", open.size() } });
     for (const auto id : open) {
         if (m_pending.count(id))
             abandon(id, RefusalReason::stopping, RefusalReason::stopping);
