Leader: slots stay with their owners while unknown grants may be valid

What callers saw: after a return of the store, more and more requests were refused for some eight seconds, up to most of them.

Cause: the leader that took over went on balancing. Each moved range was released by its owner at once, and granted to the new one only when all grants of the earlier era had expired. Every 300 ms the busiest ranges lost their owner.

Evidence: slotsStayWithTheirOwnersWhileUnknownGrantsMayBeValid failed before (check !hadNoHolder has failed) and passes now.

Why it works: until then only ranges move whose owner may not keep them.

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -252,7 +252,8 @@
             addUnknownOwner(range);
             changed = true;
         }
-        if (!state.confirmed || !range.previous.empty())
+        // A move that waits for unknown grants leaves its slots without an owner, so only those that need one move.
+        if (!state.confirmed || !range.previous.empty() || bootNow() < m_unknownGrantsEnd)
             fixed.insert(range.first.value);
     }
     const double ratePerCount = (1 - kDecayFactor) * 1000 / static_cast<double>(kDecayInterval.count());
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -142,6 +142,40 @@
     BOOST_TEST(site.fencesRise());
 }
 
+// Guards against slots that their owner has to give up although nobody else may get them yet.
+BOOST_AUTO_TEST_CASE(slotsStayWithTheirOwnersWhileUnknownGrantsMayBeValid)
+{
+    RestoredSite site;
+    site.store.saveCopy();
+    site.moveSlot();
+    site.store.fault = StoreFault::silent;
+    site.watchSlotsFor(Millis(1500)); // longer than the leader's lease, so that another host may have led
+    site.store.fault = StoreFault::none;
+    site.store.restoreCopy(true);
+    const auto tableEra = [&] {
+        const Json table = Json::parse(site.store.value("pistachiospur/ranges/keyed"), nullptr, false);
+        return table.is_object() ? table.value("era", 0) : 0;
+    };
+    BOOST_REQUIRE(site.watchSlotsUntil([&] { return tableEra() == 2; }));
+    const RangeUpstream& idle = site.add("keyed", "k9"); // may take slots of the others
+    bool hadNoHolder = false;
+    const Millis end = monotonicNow() + Millis(4000);
+    site.watchSlotsUntil([&] {
+        hadNoHolder |= site.holderCounts().first == 0;
+        return monotonicNow() >= end;
+    });
+    BOOST_TEST(!hadNoHolder);
+    BOOST_TEST(site.watchSlotsUntil([&] {
+        for (std::uint32_t slot = 0; slot < kKeySlots; slot += kSampleStep) {
+            if (idle.holds(slot))
+                return true;
+        }
+        return false;
+    }));
+    BOOST_TEST(!site.hadTwoHolders);
+    BOOST_TEST(site.fencesRise());
+}
+
 // Guards against a configuration, or a departure, that is not in force after a restore: what was read bore a lower
 // revision than what was known, and was taken for outdated.
 BOOST_AUTO_TEST_CASE(changesAfterARestoreAreInForceOnEveryHostInTime)
