Model of ranges: a leader whose lease had ended claims again

Callers saw nothing of this; it is a matter of proof. The model had a leader that keeps its table because its lease had not ended, and any other that waits. The code has a case between them: the lease ended shortly before, and the range stays with an owner that accepts the old fencing token once more. The claim and the write of the table are two steps now, and the claim may come at any time within the old right, as in the code.

NO_CLAIM shows that the claim's unique name is needed; before, the table's era was enough.

In the full model the copy is always that of revision 0: fencing tokens rise by era, and a stale write may find any revision. Other revisions are searched where a copy's table counts. A claim that the copy contains is gone once a leader is elected.

--- a/models/ranges.pml
+++ b/models/ranges.pml
@@ -8,12 +8,14 @@
  * goes on renewing for OUTAGE ticks after its lease has ended, whether or not the store can be reached. Host 0 leads
  * first and host 1 takes over; only orders of host 0 lose their answers.
  *
- * Once, the store may come back from an older copy, in a new era. The copy's leader record and table do not count, since
- * they name an earlier era, and revisions are given out again. Nobody is told: a leader of the earlier era renews grants
- * until the end of its right. If its lease has not ended it may claim again and keep its table, because no other host can
- * have led since. Any other new leader that finds no table of its era regards each upstream as a possible holder
- * (anyPrevious), names it so in its table, and waits until all grants of leaders of the earlier era have expired. A
- * leader that claims again after its lease has ended is two hosts here: one that renews and one that waits.
+ * Once, the store may come back from an older copy, in a new era. The copy's leader record and table do not count,
+ * since they name an earlier era, and revisions are given out again. Nobody is told: a leader of the earlier era
+ * renews grants until the end of its right. Until then it may claim again and carries over: it goes on under its
+ * table and fencing tokens of the earlier era, until it has written the table again. If it led until the store came
+ * back, no other host can have led since, and it keeps its table. If its lease had ended, and not long before, it
+ * keeps the range with an owner that still accepts the old fencing token (isProven); later moves wait as follows. Any
+ * other new leader that finds no table of its era regards each upstream as a possible holder (anyPrevious), names it
+ * so in its table, and waits until all grants of leaders of the earlier era have expired.
  *
  * All times are those that are left, so that the search is not bounded in time.
  *
@@ -36,8 +38,10 @@
 bit owner = 0;
 bool previous = false; /* the other upstream is the previous owner and not yet cleared */
 bool anyPrevious = false; /* each upstream may be one */
-byte fence = 0;
+byte tableUnknownLeft = 0; /* until grants have expired that neither the table nor its writer knows of */
 byte writer = NOBODY;
+bool isClaimed = false; /* a leader was elected in this era; the claim that the copy may contain is gone */
+byte lastLeader = NOBODY; /* led when the store came back */
 #ifdef NO_TABLE_ERA
 bit ownerAt[LAST_WRITE + 1]; /* by revision, for the copy */
 bool previousAt[LAST_WRITE + 1];
@@ -61,8 +65,14 @@
 bool released[2];
 bool hasEarlierGrants[2]; /* grants of the previous leader may still be valid */
 byte earlierLeft[2]; /* until grants of earlier leaders have expired */
+byte unknownLeft[2]; /* until grants have expired that no table of this era names */
 byte answeredLeft[4]; /* by host * 2 + upstream: until the host's answered grants have expired */
 byte unansweredLeft[4]; /* the same for grants without an answer */
+mtype = { no, withTable, withProof, withoutTable };
+mtype carriesOver[2] = no;
+/* Of host 0, since only it is followed by another host in the earlier era. */
+bool isProven = false;
+bit grantSentIn = 0; /* era */
 
 /*
  * At most one grant per host is in flight. grantState: 0 none, 1 sent, 2 arrived. A late grant has arrived, its answer
@@ -87,7 +97,7 @@
 #define mayRenew(k) (isLeader[k] && rightLeft[k] > 0)
 #endif
 #define mayWrite(k) (isLeader[k] && rightLeft[k] > OUTAGE)
-#define leadsWithCurrentView(k) (leader == k && claimEra[k] == era && viewWrites[k] == writes)
+#define leadsWithCurrentView(k) (leader == k && claimEra[k] == era && carriesOver[k] == no && viewWrites[k] == writes)
 #ifdef NO_PREDECESSOR
 #define earlierGrantsExpired(k) true
 #else
@@ -114,16 +124,64 @@
 #else
 #define newFence (era * (LAST_WRITE + 1) + writes)
 #endif
+/* A leader says that it has stopped only if it has, also while it may claim again. */
+#ifdef NO_TRUE_STOP
+#define saysStopped(k) (!isLeader[k] || claimEra[k] < era)
+#else
+#define saysStopped(k) (!isLeader[k])
+#endif
 #ifdef NO_RENEWAL_ERA
 #define isLeaseRenewed(k) (isLeader[k] && (leader == k || claimEra[k] < era))
 #else
 #define isLeaseRenewed(k) (isLeader[k] && leader == k && claimEra[k] == era)
 #endif
-/* Whether a leader may claim again in a new era and keep its table. */
+/* Whether a leader that claims again may keep its table. */
 #ifdef NO_UNBROKEN_LEASE
-#define mayKeepTable(k) mayRenew(k)
+#define mayKeepTable(k) true
+#else
+#define mayKeepTable(k) (lastLeader == k)
+#endif
+/*
+ * Whether its lease ended so short a time ago that any move of another leader which waits for this one to stop ends
+ * after the right of that leader. Of the lease it knows only that it ended LEASE to LEASE + 1 ticks after the renewal.
+ */
+#ifdef NO_PROOF_BOUND
+#define mayProve(k) (k == 0)
+#else
+#define mayProve(k) (k == 0 && rightLeft[k] + ORDER + HOLD >= LEASE + OUTAGE + 2)
+#endif
+#ifdef NO_PROOF
+#define proves(k) true
+#else
+#define proves(k) isProven
+#endif
+#ifdef NO_PROOF_ERA
+#define grantMayProve true
+#define mayGetProof (!isProven)
+#else
+#define grantMayProve (grantSentIn == 1)
+/* Host 0 carries over, or will, without having led until the store came back. */
+#define mayGetProof (!isProven && (carriesOver[0] == withProof || (claimEra[0] < era && lastLeader != 0)))
+#endif
+#ifdef NO_UNKNOWN_IN_MOVES
+#define unknownGrantsMayHold(k) false
+#else
+#define unknownGrantsMayHold(k) (unknownLeft[k] > 0)
+#endif
+#ifdef NO_UNKNOWN_IN_TABLE
+#define inheritedUnknown 0
+#else
+#define inheritedUnknown tableUnknownLeft
+#endif
+#ifdef NO_CLAIM
+#define findsClaim true
+#else
+#define findsClaim (!isClaimed)
+#endif
+#ifdef NO_TABLE_READ
+#define findsTable false
 #else
-#define mayKeepTable(k) (isLeader[k] && rightLeft[k] > OUTAGE + 1)
+#define findsTable tableCounts
 #endif
 /* A leader of the earlier era may have renewed its lease just before the store came back. */
 #ifdef NO_LEASE_IN_WAIT
@@ -150,7 +208,8 @@
 /* The forget... macros reset what has no use any more, so that spin regards more states as the same. */
 inline forgetGrant(k)
 {
-    grantState[k] = 0; orderLeft[k] = 0; ttlLeft[k] = 0; grantTo[k] = 0; grantFence[k] = 0
+    grantState[k] = 0; orderLeft[k] = 0; ttlLeft[k] = 0; grantTo[k] = 0; grantFence[k] = 0;
+    if :: k == 0 -> grantSentIn = 0 :: else fi
 }
 
 inline forgetLedger(k)
@@ -163,12 +222,15 @@
 {
     claimEra[k] = 0; rightLeft[k] = 0; viewWrites[k] = 0; viewOwner[k] = 0; viewPrevious[k] = false;
     viewAny[k] = false; viewFence[k] = 0; cleared[k] = false; released[k] = false; hasEarlierGrants[k] = false;
-    earlierLeft[k] = 0; forgetLedger(k)
+    earlierLeft[k] = 0; unknownLeft[k] = 0; carriesOver[k] = no; forgetLedger(k);
+    if :: k == 0 -> isProven = false; grantSentIn = 0 :: else fi;
+    if :: lastLeader == k -> lastLeader = NOBODY :: else fi
 }
 
+/* While a leader carries over, its right is that of the earlier era. */
 inline renewLease(k)
 {
-    rightLeft[k] = LEASE + OUTAGE + 1;
+    if :: carriesOver[k] == no -> rightLeft[k] = LEASE + OUTAGE + 1 :: else fi;
     if :: leader == k -> leaseLeft = LEASE :: else fi
 }
 
@@ -176,6 +238,7 @@
 {
     writes++;
     tableEra = era;
+    tableUnknownLeft = unknownLeft[k];
     viewWrites[k] = writes;
 #ifdef NO_TABLE_ERA
     ownerAt[writes] = owner; previousAt[writes] = previous; writerAt[writes] = writer
@@ -184,12 +247,11 @@
 
 inline reloadView(k)
 {
-    fence = newFence;
     cleared[k] = !previous && !viewAny[k];
     released[k] = false;
     viewOwner[k] = owner;
     viewPrevious[k] = previous;
-    viewFence[k] = fence
+    viewFence[k] = newFence
 }
 
 /* A host that did not lead becomes leader and writes its first table. */
@@ -197,26 +259,40 @@
 {
     forgetLedger(k);
     viewAny[k] = anyPrevious || !tableCounts;
-    previous = previous && tableCounts && !viewAny[k];
+    previous = previous && tableCounts;
     anyPrevious = viewAny[k] && namesAny;
-    hasEarlierGrants[k] = !viewAny[k] && writer != NOBODY;
-    earlierLeft[k] = (viewAny[k] -> ANY_WAIT :
-        (!hasEarlierGrants[k] -> 0 : (writer == k -> ORDER + HOLD : OUTAGE + ORDER + HOLD)));
-    leader = k; isLeader[k] = true; claimEra[k] = era; writer = k;
+    unknownLeft[k] = (tableCounts -> inheritedUnknown : ANY_WAIT);
+    hasEarlierGrants[k] = tableCounts && writer != NOBODY;
+    earlierLeft[k] = (!hasEarlierGrants[k] -> 0 : (writer == k -> ORDER + HOLD : OUTAGE + ORDER + HOLD));
+    leader = k; isLeader[k] = true; claimEra[k] = era; writer = k; carriesOver[k] = no; isClaimed = era == 1;
+    if :: k == 0 -> isProven = false :: else fi;
     renewLease(k);
     writeTable(k);
     reloadView(k)
 }
 
-inline adoptStaleWrite(k)
+/* A table that names the earlier era counts only in variants. */
+inline staleTable(k)
 {
+    owner = 0; previous = false; anyPrevious = false; writer = NOBODY; tableUnknownLeft = 0;
+#if defined(NO_TABLE_ERA) || defined(NO_ANSWER_ERA)
+    owner = 1 - viewOwner[k]; previous = true; writer = k;
+#endif
 #ifdef NO_ANSWER_ERA
     viewWrites[k] = writes; reloadView(k)
-#else
-    skip
 #endif
 }
 
+/* Ends carrying over; the present lease counts from here on. */
+inline rewriteTable(k)
+{
+    writer = k; owner = viewOwner[k]; previous = viewPrevious[k]; anyPrevious = viewAny[k] && namesAny;
+    carriesOver[k] = no; rightLeft[k] = leaseLeft + OUTAGE + 1;
+    if :: k == 0 -> isProven = false :: else fi;
+    writeTable(k);
+    viewFence[k] = newFence
+}
+
 inline keepLedger(k)
 {
 #ifdef NO_KEPT_LEDGER
@@ -234,43 +310,70 @@
     :: d_step { mayTakeOver(k) && tableCounts && (era == 1 || (writes == 0 -> k == 0 : k == 1)) -> takeOver(k) }
     :: d_step { mayTakeOver(k) && !tableCounts -> owner = 0; takeOver(k) }
     :: d_step { mayTakeOver(k) && !tableCounts -> owner = 1; takeOver(k) }
-    :: d_step { mayKeepTable(k) && claimEra[k] < era && leader == NOBODY && writes < LAST_WRITE ->
-        leader = k; claimEra[k] = era; writer = k; owner = viewOwner[k]; previous = viewPrevious[k];
-        renewLease(k);
-        writeTable(k);
-        fence = newFence; viewFence[k] = fence;
+    :: d_step { mayRenew(k) && claimEra[k] < era && leader == NOBODY && writes < LAST_WRITE ->
+        if
+        :: mayKeepTable(k) -> carriesOver[k] = withTable
+        :: !mayKeepTable(k) && mayProve(k) -> carriesOver[k] = withProof; unknownLeft[k] = ANY_WAIT
+        :: else -> carriesOver[k] = withoutTable; unknownLeft[k] = ANY_WAIT
+        fi;
+        leader = k; claimEra[k] = era; leaseLeft = LEASE; isClaimed = true;
+        if :: lastLeader == k -> lastLeader = NOBODY :: else fi }
+    :: d_step { carriesOver[k] == withTable && leader == k && mayRenew(k) && !findsTable && writes < LAST_WRITE ->
+        rewriteTable(k);
         keepLedger(k) }
+    :: d_step { carriesOver[k] == withProof && leader == k && mayRenew(k) && !findsTable && writes < LAST_WRITE &&
+            proves(k) ->
+        viewPrevious[k] = false; rewriteTable(k) }
+    :: d_step { carriesOver[k] == withProof && leader == k && mayRenew(k) && !findsTable && writes < LAST_WRITE &&
+            !proves(k) ->
+        viewPrevious[k] = false; viewAny[k] = true; cleared[k] = false; released[k] = false; rewriteTable(k) }
+    /* Starts anew from its own table, since nobody has written one in this era, or from one of this era. */
+    :: d_step { carriesOver[k] != no && leader == k && rightLeft[k] == 0 && !findsTable && writes < LAST_WRITE &&
+            grantState[k] == 0 ->
+        viewPrevious[k] = false; viewAny[k] = true; cleared[k] = false; released[k] = false;
+        if :: carriesOver[k] == withTable -> unknownLeft[k] = ANY_WAIT :: else fi;
+        hasEarlierGrants[k] = false; earlierLeft[k] = 0; forgetLedger(k); rewriteTable(k) }
+    :: d_step { carriesOver[k] != no && leader == k && findsTable && writes < LAST_WRITE && grantState[k] == 0 ->
+        takeOver(k) }
     :: d_step { isLeaseRenewed(k) -> renewLease(k) }
     :: d_step { mayWrite(k) && leadsWithCurrentView(k) && writes < LAST_WRITE && !viewPrevious[k] && !viewAny[k] &&
             grantState[k] == 0 ->
-        owner = 1 - viewOwner[k]; previous = true; writeTable(k); reloadView(k) }
+        owner = 1 - viewOwner[k]; previous = true;
+        viewAny[k] = unknownGrantsMayHold(k); anyPrevious = viewAny[k] && namesAny;
+        writeTable(k); reloadView(k) }
     /*
-     * A leader that has not heard of the new era writes. Revisions may match by chance; the table names the earlier era,
-     * and so the write has no effect if its writer sees the answer's era.
+     * A leader that has not heard of the new era writes. Revisions may match by chance, and its claim may be in the
+     * copy; the table names the earlier era, and so the write has no effect if its writer sees the answer's era.
      */
-    :: d_step { mayWrite(k) && claimEra[k] < era && viewWrites[k] == writes && writes < LAST_WRITE &&
-            !viewPrevious[k] && grantState[k] == 0 ->
-        owner = 1 - viewOwner[k]; previous = true; anyPrevious = false; writes++; tableEra = claimEra[k];
-        adoptStaleWrite(k) }
+    :: d_step { mayWrite(k) && claimEra[k] < era && findsClaim && writes < LAST_WRITE && !viewPrevious[k] &&
+            grantState[k] == 0 ->
+        writes++; tableEra = claimEra[k]; staleTable(k) }
     /* Learns of the new leader or era, or its process ends. */
     :: d_step { isLeader[k] && (leader != k || claimEra[k] < era) -> isLeader[k] = false; forgetView(k) }
-    :: d_step { isLeader[k] && hasEarlierGrants[k] && earlierLeft[k] > ORDER + HOLD && !isLeader[1 - k] ->
+    :: d_step { isLeader[k] && hasEarlierGrants[k] && earlierLeft[k] > ORDER + HOLD && saysStopped(1 - k) ->
         earlierLeft[k] = ORDER + HOLD }
     :: d_step { mayRenew(k) && viewPrevious[k] && !cleared[k] && grantState[k] == 0 && !released[k] ->
         holdLeft[1 - viewOwner[k]] = 0; released[k] = true }
     :: d_step { mayRenew(k) && viewPrevious[k] && !cleared[k] && grantState[k] == 0 && earlierGrantsExpired(k) &&
-            unansweredExpired(k, 1 - viewOwner[k]) && (released[k] || answeredExpired(k, 1 - viewOwner[k])) ->
+            (!viewAny[k] || unknownLeft[k] == 0) && unansweredExpired(k, 1 - viewOwner[k]) &&
+            (released[k] || answeredExpired(k, 1 - viewOwner[k])) ->
+        cleared[k] = true; released[k] = false }
+    :: d_step { mayRenew(k) && viewAny[k] && !viewPrevious[k] && !cleared[k] && unknownLeft[k] == 0 ->
         cleared[k] = true }
-    :: d_step { mayRenew(k) && viewAny[k] && !cleared[k] && earlierLeft[k] == 0 -> cleared[k] = true }
     :: d_step { mayRenew(k) && cleared[k] && grantState[k] == 0 ->
-        grantState[k] = 1; orderLeft[k] = ORDER; grantTo[k] = viewOwner[k]; grantFence[k] = viewFence[k] }
+        grantState[k] = 1; orderLeft[k] = ORDER; grantTo[k] = viewOwner[k]; grantFence[k] = viewFence[k];
+        if :: k == 0 && mayGetProof -> grantSentIn = era :: else fi }
     :: d_step { grantState[k] == 1 -> grantState[k] = 2; ttlLeft[k] = HOLD }
     :: d_step { grantState[k] == 2 ->
         if
         :: isLeader[k] ->
             if
             :: grantFence[k] == viewFence[k] && grantFence[k] >= seenFence[grantTo[k]] ->
-                hasEarlierGrants[k] = false; earlierLeft[k] = 0
+                hasEarlierGrants[k] = false; earlierLeft[k] = 0;
+                if
+                :: k == 0 && grantMayProve && mayGetProof -> isProven = true; grantSentIn = 0
+                :: else
+                fi
             :: else
             fi;
             answeredLeft[k * 2 + grantTo[k]] = HOLD
@@ -302,6 +405,7 @@
     :: d_step { !givesUp(0) && !givesUp(1) && !(leader != NOBODY && leaseLeft == 0) ->
         passTick(leaseLeft); passTick(holdLeft[0]); passTick(holdLeft[1]);
         passTick(rightLeft[0]); passTick(rightLeft[1]); passTick(earlierLeft[0]); passTick(earlierLeft[1]);
+        passTick(unknownLeft[0]); passTick(unknownLeft[1]); passTick(tableUnknownLeft);
         passTick(answeredLeft[0]); passTick(answeredLeft[1]); passTick(answeredLeft[2]); passTick(answeredLeft[3]);
         passTick(unansweredLeft[0]); passTick(unansweredLeft[1]);
         passTick(orderLeft[0]); passTick(orderLeft[1]); passTick(ttlLeft[0]); passTick(ttlLeft[1]);
@@ -311,11 +415,15 @@
     od
 }
 
-/* The store comes back from a copy as of some earlier revision. */
+/*
+ * The store comes back from a copy as of some earlier revision. If the copy's table does not count, the revision has no
+ * effect: a new fencing token is higher by its era, and a stale write may always find the revision that it expects.
+ */
 inline restoreCopy(revision)
 {
     d_step { era == 0 && writes > 0 && revision <= writes ->
-        era = 1; leader = NOBODY; leaseLeft = 0; writes = revision; previous = false; writer = NOBODY; fence = 0;
+        lastLeader = leader; era = 1; leader = NOBODY; leaseLeft = 0;
+        writes = revision; owner = 0; previous = false; writer = NOBODY;
 #ifdef NO_TABLE_ERA
         owner = ownerAt[writes]; previous = previousAt[writes]; writer = writerAt[writes]
 #endif
@@ -324,6 +432,7 @@
 
 proctype Store()
 {
+#ifdef NO_TABLE_ERA
     if
     :: restoreCopy(0)
     :: restoreCopy(1)
@@ -331,6 +440,9 @@
     :: restoreCopy(3)
     :: restoreCopy(4)
     fi
+#else
+    restoreCopy(0)
+#endif
 }
 
 init { atomic { run Host(0); run Host(1); run Clock(); run Store() } }
@@ -341,3 +453,5 @@
 /* Expected to be violated, which shows that a leader that waited for any upstream grants the range. */
 #define grantsAgain(k) (viewAny[k] && cleared[k] && holds(viewOwner[k]) && seenFence[viewOwner[k]] == viewFence[k])
 ltl neverGrantsAgain { [] !(grantsAgain(0) || grantsAgain(1)) }
+/* Expected to be violated, which shows that a leader whose lease had ended keeps the range with its owner. */
+ltl neverProven { [] !(isProven && carriesOver[0] == withProof) }
