--- a/include/pistachiospur/era.h
+++ b/include/pistachiospur/era.h
@@ -21,6 +21,13 @@
 
 constexpr StoreEra eraOf(StoreRevision revision) { return { revision.value >> kRevisionBits }; }
 
+// The form for logs: "2:76", era and counter; the counter alone if the store names no era.
+inline std::string textOf(StoreRevision revision)
+{
+    const std::string counter = std::to_string(counterOf(revision).value);
+    return eraOf(revision) == StoreEra {} ? counter : std::to_string(eraOf(revision).value) + ":" + counter;
+}
+
 // The revision with this counter in an era.
 constexpr StoreRevision inEra(StoreEra era, StoreRevision revision)
 {
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -132,7 +132,7 @@
     auto& snapshot = std::get<Snapshot>(result);
     if (snapshot.revision < m_known.completeTo)
         logEvent(EventKind::state, "read_outdated",
-            { { "revision", snapshot.revision.value }, { "known", m_known.completeTo.value } });
+            { { "revision", textOf(snapshot.revision) }, { "known", textOf(m_known.completeTo) } });
     if (m_known.completeTo == StoreRevision {})
         m_firstEra = m_store->era();
     noteOutage(snapshot.revision);
@@ -165,7 +165,7 @@
             if (!m_watching)
                 return;
             if (error.historyLost) {
-                logEvent(EventKind::state, "store_history_lost", { { "after", m_known.completeTo.value } });
+                logEvent(EventKind::state, "store_history_lost", { { "after", textOf(m_known.completeTo) } });
                 const Millis now = monotonicNow();
                 if (now - std::exchange(m_historyLostAt, now) < kStoreRetryDelay)
                     m_readRetryTimer.once(kStoreRetryDelay);
@@ -196,7 +196,7 @@
         return;
     if (hasGap(m_known, batch)) {
         logEvent(EventKind::state, "changes_missed",
-            { { "revision", m_known.completeTo.value }, { "from", batch.from.value }, { "to", batch.to.value },
+            { { "revision", textOf(m_known.completeTo) }, { "from", textOf(batch.from) }, { "to", textOf(batch.to) },
                 { "age_ms", this->age().count() } });
         return readAll();
     }
@@ -230,7 +230,7 @@
     if (m_reading)
         return;
     logEvent(
-        EventKind::state, "reading_alone", { { "revision", m_known.completeTo.value }, { "age_ms", age().count() } });
+        EventKind::state, "reading_alone", { { "revision", textOf(m_known.completeTo) }, { "age_ms", age().count() } });
     readConfiguration();
     readAll();
 }
@@ -306,13 +306,13 @@
     if (std::exchange(m_storeReachable, false))
         logEvent(EventKind::state, "store_lost",
             { { "call", call }, { "status", error.httpStatus }, { "waited_ms", error.waited.count() },
-                { "revision", m_known.completeTo.value } });
+                { "revision", textOf(m_known.completeTo) } });
 }
 
 void Directory::onStoreAnswer()
 {
     if (!std::exchange(m_storeReachable, true))
-        logEvent(EventKind::state, "store_reached", { { "revision", m_known.completeTo.value } });
+        logEvent(EventKind::state, "store_reached", { { "revision", textOf(m_known.completeTo) } });
 }
 
 // Applies a change that has been merged into the known versions.
@@ -420,8 +420,7 @@
         return;
     known = std::move(entry);
     logEvent(EventKind::state, "leader",
-        { { "service", service }, { "keeper", known.host }, { "era", eraOf(known.version).value },
-            { "revision", counterOf(known.version).value } });
+        { { "service", service }, { "keeper", known.host }, { "revision", textOf(known.version) } });
 }
 
 void Directory::applyTable(const KeyChange& change)
@@ -436,7 +435,8 @@
     }
     auto table = decodeRangeTable(*change.text, change.version);
     if (!table) {
-        logEvent(EventKind::state, "ranges_refused", { { "service", service }, { "revision", change.version.value } });
+        logEvent(
+            EventKind::state, "ranges_refused", { { "service", service }, { "revision", textOf(change.version) } });
         return;
     }
     const StoreRevision revision = revisionOf(*table, change.version);
@@ -549,7 +549,7 @@
     const bool exists = !conflict.current.empty() && conflict.current.front().text;
     m_hostEntryVersion = exists ? conflict.current.front().version : StoreRevision {};
     m_nextHostEntryWriteAt = Millis(0);
-    logEvent(EventKind::state, "host_entry_conflict", { { "revision", m_hostEntryVersion.value } });
+    logEvent(EventKind::state, "host_entry_conflict", { { "revision", textOf(m_hostEntryVersion) } });
 }
 
 void Directory::publishLeaving()
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -68,7 +68,7 @@
                     { { "request", sent.id }, { "upstream", name }, { "outcome", outcomeName(reply) },
                         { "ran", refusal->ran == Ran::no ? "no" : "unknown" },
                         { "ms", (monotonicNow() - startedAt).count() }, { "slot", sent.slot.value },
-                        { "revision", context.directory.revision().value },
+                        { "revision", textOf(context.directory.revision()) },
                         { "age_ms", context.directory.age().count() } });
             callback(std::move(reply), rate);
         });
--- a/src/gateway/election.cpp
+++ b/src/gateway/election.cpp
@@ -152,8 +152,7 @@
     m_unsettledText.clear();
     m_storedTable.reset();
     logEvent(EventKind::state, "leading",
-        { { "service", m_service }, { "era", eraOf(version).value }, { "keeper_revision", counterOf(version).value },
-            { "carries_over", carriesOver } });
+        { { "service", m_service }, { "keeper_revision", textOf(version) }, { "carries_over", carriesOver } });
     if (carriesOver)
         carryOver();
     else
--- a/src/gateway/entries.cpp
+++ b/src/gateway/entries.cpp
@@ -72,7 +72,7 @@
     logEvent(EventKind::state, "upstream",
         { { "upstream", name }, { "born", instance->id.startTime.value }, { "service", instance->service },
             { "endpoint", instance->endpoint.text() }, { "data_centre", instance->dataCentre },
-            { "draining", instance->draining }, { "revision", change.version.value } });
+            { "draining", instance->draining }, { "revision", textOf(change.version) } });
     m_instances[name] = std::move(entry);
 }
 
@@ -89,7 +89,7 @@
     if (!known->second.noNewWorkFrom)
         known->second.noNewWorkFrom = mayHaveLapsed ? m_lapseGraceEnd : now;
     logEvent(EventKind::state, "upstream_entry_gone",
-        { { "upstream", name }, { "revision", change.version.value }, { "perhaps_lapsed", mayHaveLapsed } });
+        { { "upstream", name }, { "revision", textOf(change.version) }, { "perhaps_lapsed", mayHaveLapsed } });
 }
 
 const InstanceEntry* Directory::findInstance(const InstanceId& id) const
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -548,7 +548,7 @@
     std::vector<EventField> fields = { { "request", request.id }, { "route", pending->route },
         { "service", request.service }, { "slot", request.slot.value }, { "ms", took.count() },
         { "tries", pending->refusedAttempts }, { "configuration", pending->configuration.value },
-        { "revision", m_context.directory.revision().value }, { "age_ms", m_context.directory.age().count() } };
+        { "revision", textOf(m_context.directory.revision()) }, { "age_ms", m_context.directory.age().count() } };
     if (refusal) {
         m_context.metrics.count("pistachiospur_refusals_total", { { "reason", factsOf(refusal->reason).name } });
         fields.push_back({ "outcome", factsOf(refusal->reason).name });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -347,8 +347,8 @@
     }
     const auto& routes = m_context.directory.routes();
     const Json status = { { "host", m_context.settings.host }, { "configuration", routes ? routes->version.value : 0 },
-        { "store_revision", m_context.directory.revision().value },
-        { "copy_age_ms", m_context.directory.age().count() },
+        { "store_revision", counterOf(m_context.directory.revision()).value },
+        { "store_era", m_context.directory.storeEra().value }, { "copy_age_ms", m_context.directory.age().count() },
         { "store_reached", m_context.directory.isStoreReachable() }, { "stopping", m_context.stopping },
         { "open_requests", m_frontend.pendingCount() }, { "hosts", hosts }, { "upstreams", upstreams },
         { "keepers", leaders } };
@@ -368,7 +368,8 @@
     m_context.metrics.set("pistachiospur_config_revision", {},
         directory.routes() ? static_cast<double>(directory.routes()->version.value) : 0);
     m_context.metrics.set("pistachiospur_copy_age_seconds", {}, static_cast<double>(directory.age().count()) / 1000);
-    m_context.metrics.set("pistachiospur_store_revision", {}, static_cast<double>(directory.revision().value));
+    m_context.metrics.set(
+        "pistachiospur_store_revision", {}, static_cast<double>(counterOf(directory.revision()).value));
     m_context.metrics.set("pistachiospur_hosts_alive", {}, static_cast<double>(directory.hosts().size()));
     publishTraffic(m_context.metrics, m_context.hub);
     for (const auto& [kind, n] : m_context.directory.store().callCounts())
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -503,8 +503,8 @@
         m_leaseValidUntil = m_lease.validUntil();
     m_context.directory.recordTable(m_service, { m_table, m_tableRevision, {} });
     logEvent(EventKind::state, "table",
-        { { "service", m_service }, { "era", m_table.era.value }, { "revision", counterOf(stored).value },
-            { "ranges", m_table.ranges.size() }, { "first_of_keeper", isFirstWrite } });
+        { { "service", m_service }, { "revision", textOf(m_tableRevision) }, { "ranges", m_table.ranges.size() },
+            { "first_of_keeper", isFirstWrite } });
 }
 
 void RangeLeader::onLoadReport(const LoadReport& report)
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -228,7 +228,7 @@
         state.fenceOutdated = verdict == OrderVerdict::outdatedFence;
         logEvent(EventKind::state, "grant_failed",
             { { "service", m_service }, { "upstream", range.owner.name }, { "first", range.first.value },
-                { "fence", range.fence.value }, { "verdict", static_cast<int>(verdict) } });
+                { "fence", textOf(range.fence) }, { "verdict", static_cast<int>(verdict) } });
         return;
     }
     state.nextGrantAt = monotonicNow() + renewalInterval(m_table.ranges.size());
@@ -238,7 +238,7 @@
     if (!std::exchange(state.active, true))
         logEvent(EventKind::state, "range_active",
             { { "service", m_service }, { "upstream", range.owner.name }, { "first", range.first.value },
-                { "last", range.last.value }, { "fence", range.fence.value } });
+                { "last", range.last.value }, { "fence", textOf(range.fence) } });
 }
 
 // --- Unreachable upstreams ---
