Tests: hosts that are cut off from all upstreams

What callers saw: while most hosts are cut off from all upstreams, callers of these hosts are refused, and callers of the host that reaches every upstream are refused as well, although the upstreams have room for all.

The tests run five hosts, each of which reaches each upstream through a forwarder of its own (tests/cut_fixture.h), and cut four of them off: connections hang, are reset and refused, or live on while new ones are refused. Callers go on sending 20 requests a second to each host, safe and unsafe ones for slots of all keyed upstreams, and pooled ones. Required from 3 s after the cut: 95 in 100 served at the cut hosts and at the other one, no gap beyond 2 in 100; all of that also from 3 s after the cut was healed, when each host sends its pooled requests itself again; no request that may not be repeated runs twice, and none refused with 503 has run.

--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -99,7 +99,7 @@
         return *upstreams.back();
     }
 
-    void addHost(int n)
+    void addHost(int n, const PlatformAdapter& adapter = platform::kvPlatformAdapter())
     {
         GatewaySettings settings;
         settings.host = "h" + std::to_string(n);
@@ -111,7 +111,7 @@
         settings.store = store.endpoint();
         for (const auto& it : gatewayOptions())
             settings.limits.*it.field = it.defaultValue;
-        gateways.push_back(std::make_unique<Gateway>(settings, "", platform::kvPlatformAdapter()));
+        gateways.push_back(std::make_unique<Gateway>(settings, "", adapter));
         gateways.back()->start();
         callerEndpoints.push_back(settings.callers);
         adminEndpoints.push_back(settings.admin);
--- /dev/null
+++ b/tests/reach_test.cpp
@@ -0,0 +1,257 @@
+#include "cut_fixture.h"
+
+#include <cmath>
+
+// Tests of hosts that are cut off from upstreams, over real sockets.
+using namespace pistachiospur;
+using namespace pistachiospur::standin;
+
+namespace {
+
+// From this time after a cut on, requests are served as before it.
+constexpr Millis kRecovery { 3000 };
+constexpr Millis kObserved { 2500 };
+constexpr Millis kRoundInterval { 50 };
+constexpr double kMinServedShare = 0.95;
+constexpr double kMaxGap = 0.02;
+
+struct SentRequest {
+    std::size_t host = 0;
+    std::string target;
+    Millis sentAt {};
+    std::optional<Millis> took; // nothing before the end
+    int status = 0; // 0 without an answer
+    bool hasRetryAfter = false;
+};
+
+// Callers that send each host a request every 50 ms and repeat none: safe and unsafe ones for the slots of the keyed
+// service, and pooled ones. Each request is sent on time, whatever became of those before it.
+class Traffic {
+public:
+    explicit Traffic(CutSite& site)
+        : m_site(site)
+    {
+        m_timer.every(kRoundInterval);
+    }
+
+    void stop() { m_timer.stop(); }
+
+    bool isOver() const
+    {
+        return std::all_of(
+            m_requests.begin(), m_requests.end(), [](const auto& it) { return it.second.took.has_value(); });
+    }
+
+    const std::map<std::string, SentRequest>& requests() const { return m_requests; }
+
+    // Sends requests for so long.
+    void run(Millis duration)
+    {
+        m_site.runLoopUntil([] { return false; }, duration);
+    }
+
+private:
+    void sendRound()
+    {
+        static constexpr std::array kTargets { "/get/x", "/unsafe/x", "/pool/x" };
+        ++m_round;
+        for (std::size_t host = 0; host < m_site.gateways.size(); ++host) {
+            const std::string target = kTargets.at((m_round + host) % kTargets.size());
+            const std::string id = "t" + std::to_string(m_round) + "-" + std::to_string(host);
+            HttpCall call = m_site.call(target, id, host);
+            call.headers.back().second = std::to_string((m_round * 5 + host) * 9973 % kKeySlots);
+            SentRequest& sent = m_requests[id];
+            sent.host = host;
+            sent.target = target;
+            sent.sentAt = monotonicNow();
+            m_client.start(std::move(call), [&sent](HttpOutcome outcome) {
+                sent.took = monotonicNow() - sent.sentAt;
+                if (const auto* answer = std::get_if<HttpAnswer>(&outcome)) {
+                    sent.status = answer->status;
+                    sent.hasRetryAfter = answer->headers.count("retry-after") > 0;
+                }
+            });
+        }
+    }
+
+    CutSite& m_site;
+    std::size_t m_round = 0;
+    std::map<std::string, SentRequest> m_requests; // by id
+    HttpClient m_client { 1u << 20 };
+    Timer m_timer { [this] { sendRound(); } };
+};
+
+struct Share {
+    unsigned sent = 0;
+    unsigned served = 0;
+
+    double value() const { return sent ? static_cast<double>(served) / sent : 0; }
+};
+
+// The requests sent within a time to some hosts, or to all others.
+Share shareOf(const Traffic& traffic, const std::set<std::size_t>& hosts, bool others, Millis from, Millis to)
+{
+    Share share;
+    for (const auto& [id, it] : traffic.requests()) {
+        if ((hosts.count(it.host) > 0) == others || it.sentAt < from || to <= it.sentAt)
+            continue;
+        ++share.sent;
+        share.served += it.status == 200;
+    }
+    return share;
+}
+
+void checkServedAlike(const Traffic& traffic, const std::set<std::size_t>& cut, Millis from, Millis to)
+{
+    const Share atCut = shareOf(traffic, cut, false, from, to);
+    const Share atOthers = shareOf(traffic, cut, true, from, to);
+    BOOST_TEST_MESSAGE("served " << atCut.served << " of " << atCut.sent << " at cut hosts, " << atOthers.served
+                                 << " of " << atOthers.sent << " at others");
+    BOOST_TEST(atCut.value() >= kMinServedShare);
+    BOOST_TEST(atOthers.value() >= kMinServedShare);
+    BOOST_TEST(std::abs(atCut.value() - atOthers.value()) <= kMaxGap);
+}
+
+// Requests that may not be repeated ran once at most, answered ones did run, and those refused with 503 did not.
+void checkRuns(const CutSite& site, const Traffic& traffic)
+{
+    std::map<std::string, unsigned> runs;
+    for (const auto& upstream : site.upstreams) {
+        for (const auto& it : upstream->received)
+            ++runs[it.id];
+    }
+    unsigned repeated = 0, unserved = 0, deniedRuns = 0;
+    for (const auto& [id, it] : traffic.requests()) {
+        const bool mayRepeat = it.target == "/get/x";
+        repeated += !mayRepeat && runs[id] > 1;
+        unserved += it.status == 200 && runs[id] == 0;
+        deniedRuns += !mayRepeat && it.status == 503 && runs[id] > 0;
+    }
+    BOOST_TEST(repeated == 0u);
+    BOOST_TEST(unserved == 0u);
+    BOOST_TEST(deniedRuns == 0u);
+}
+
+// Waits until each host serves slots of each keyed upstream, and the pooled service.
+bool isServedEverywhere(CutSite& site)
+{
+    for (std::size_t host = 0; host < site.gateways.size(); ++host) {
+        if (!site.waitUntilServed(host))
+            return false;
+    }
+    const auto isServed = [&site](std::uint32_t slot) { return site.holderCount(slot) == 1; };
+    return site.runLoopUntil([&] {
+        return isServed(0) && isServed(kKeySlots / 2) && isServed(kKeySlots - 1)
+            && site.send("/pool/x", "warm").status == 200;
+    });
+}
+
+// All hosts but one, which is the range leader or not.
+std::set<std::size_t> allButOne(const CutSite& site, bool sparesLeader)
+{
+    std::set<std::size_t> hosts;
+    const auto leader = site.leader();
+    BOOST_REQUIRE(leader);
+    const std::size_t spared = sparesLeader ? *leader : (*leader + 1) % site.gateways.size();
+    for (std::size_t n = 0; n < site.gateways.size(); ++n) {
+        if (n != spared)
+            hosts.insert(n);
+    }
+    return hosts;
+}
+
+// From 3 s after a cut was healed on, everything is served and each host sends its pooled requests itself, as before.
+void checkHealed(CutSite& site, Traffic& traffic, const std::set<std::size_t>& hosts)
+{
+    traffic.run(kRecovery);
+    const Millis from = monotonicNow();
+    std::vector<unsigned> connections;
+    for (std::size_t host = 0; host < site.gateways.size(); ++host)
+        connections.push_back(site.connections(host, *site.upstreams.back()));
+    traffic.run(Millis(700));
+    traffic.stop();
+    BOOST_TEST(site.runLoopUntil([&] { return traffic.isOver(); }));
+    checkServedAlike(traffic, hosts, from, Millis::max());
+    for (std::size_t host = 0; host < site.gateways.size(); ++host) {
+        const auto pooled = std::count_if(traffic.requests().begin(), traffic.requests().end(), [&](const auto& it) {
+            return it.second.host == host && from <= it.second.sentAt && it.second.target == "/pool/x";
+        });
+        BOOST_TEST(site.connections(host, *site.upstreams.back()) - connections[host] >= pooled);
+    }
+}
+
+// Cuts hosts off for some seconds: they and the others serve alike during the cut and after it.
+void checkCut(bool sparesLeader, Cut cut)
+{
+    CutSite site;
+    BOOST_REQUIRE(isServedEverywhere(site));
+    Traffic traffic(site);
+    traffic.run(Millis(700));
+    const std::set<std::size_t> hosts = allButOne(site, sparesLeader);
+    const Millis cutAt = monotonicNow();
+    site.cut(hosts, cut);
+    traffic.run(kRecovery + kObserved);
+    const Millis healedAt = monotonicNow();
+    site.cut(hosts, Cut::none);
+    checkHealed(site, traffic, hosts);
+    checkServedAlike(traffic, hosts, cutAt + kRecovery, healedAt);
+    checkServedAlike(traffic, hosts, Millis(0), cutAt - Millis(300));
+    checkRuns(site, traffic);
+}
+
+// What became of a connection within a fifth of a second.
+enum class Connected { yes, refused, hangs };
+
+Connected tryToConnect(const Endpoint& endpoint)
+{
+    const int fd = connectTo(endpoint);
+    pollfd state { fd, POLLOUT, 0 };
+    const int n = fd < 0 ? 1 : poll(&state, 1, 200);
+    int error = 0;
+    socklen_t bytes = sizeof error;
+    if (fd < 0 || getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &bytes) != 0)
+        error = errno;
+    if (fd >= 0)
+        ::close(fd);
+    return n == 0 ? Connected::hangs : error ? Connected::refused : Connected::yes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Reach)
+
+// Guards against cuts of the fixture that cut nothing off.
+BOOST_AUTO_TEST_CASE(cutsOfTheFixtureRefuseOrHang)
+{
+    CutSite site(1);
+    BOOST_REQUIRE(isServedEverywhere(site));
+    const Endpoint way = site.forwarders.begin()->second.endpoint();
+    const auto becomes = [&](Cut cut) {
+        site.cut({ 0 }, cut);
+        return tryToConnect(way);
+    };
+    BOOST_TEST((becomes(Cut::none) == Connected::yes));
+    BOOST_TEST((becomes(Cut::refused) == Connected::refused));
+    BOOST_TEST((becomes(Cut::none) == Connected::yes));
+    BOOST_TEST((becomes(Cut::silent) == Connected::hangs));
+    BOOST_TEST((becomes(Cut::none) == Connected::yes));
+    BOOST_TEST((becomes(Cut::keptLive) == Connected::refused));
+    site.cut({ 0 }, Cut::none);
+    BOOST_TEST(site.waitUntilServed());
+}
+
+// Guards against requests that wait at hosts whose connections to all upstreams hang, while another host reaches them.
+BOOST_AUTO_TEST_CASE(requestsAreServedWhileConnectionsOfMostHostsHang) { checkCut(true, Cut::silent); }
+
+// Guards against requests that are refused because most hosts are refused by all upstreams, while another host reaches
+// them.
+BOOST_AUTO_TEST_CASE(requestsAreServedWhileMostHostsAreRefused) { checkCut(true, Cut::refused); }
+
+// Guards against ranges without an owner because the range leader is among the hosts whose connections hang.
+BOOST_AUTO_TEST_CASE(requestsAreServedWhileConnectionsOfTheRangeLeaderHang) { checkCut(false, Cut::silent); }
+
+// Guards against a range leader that keeps its office, since its kept connections live on, while its host and most
+// others cannot open new ones.
+BOOST_AUTO_TEST_CASE(requestsAreServedWhileOnlyKeptConnectionsOfMostHostsLive) { checkCut(false, Cut::keptLive); }
+
+BOOST_AUTO_TEST_SUITE_END()
