Tests: bodies, starts, lost upstreams and cuts of all hosts

What callers saw: bodies of 100 KB that they sent to a host cut off from all upstreams were refused or not answered; nothing was served at cut hosts when a host started during the cut or all hosts of the upstreams' data centre were cut off; and when connections of all hosts hang, callers waited for more than a second instead of being refused at once.

Six new tests of suite ReachOfOthers cover these, and two cover an upstream that is lost to all hosts while none is cut off, so that such a loss is not taken for a cut. The hosts of the fixture may be in different data centres now.

--- a/tests/cut_fixture.h
+++ b/tests/cut_fixture.h
@@ -252,7 +252,10 @@
     CutSite(const CutSite&) = delete;
     CutSite& operator=(const CutSite&) = delete;
 
-    void addHost(std::size_t n) { Fixture::addHost(static_cast<int>(n), adapterOf(n)); }
+    void addHost(std::size_t n, const char* dataCentre = "z1")
+    {
+        Fixture::addHost(static_cast<int>(n), adapterOf(n), dataCentre);
+    }
 
     void cut(const std::set<std::size_t>& hosts, Cut cut)
     {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -99,11 +99,11 @@
         return *upstreams.back();
     }
 
-    void addHost(int n, const PlatformAdapter& adapter = platform::kvPlatformAdapter())
+    void addHost(int n, const PlatformAdapter& adapter = platform::kvPlatformAdapter(), const char* dataCentre = "z1")
     {
         GatewaySettings settings;
         settings.host = "h" + std::to_string(n);
-        settings.dataCentre = "z1";
+        settings.dataCentre = dataCentre;
         settings.callers = ports.reserve();
         settings.ready = ports.reserve();
         settings.peers = ports.reserve();
--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -12,12 +12,15 @@
 constexpr Millis kRecovery { 3000 };
 constexpr Millis kObserved { 2500 };
 constexpr Millis kRoundInterval { 50 };
+// Within this time a request that no host can serve is refused.
+constexpr Millis kMaxRefusalTime { 1000 };
 constexpr double kMinServedShare = 0.95;
 constexpr double kMaxGap = 0.02;
 
 struct SentRequest {
     std::size_t host = 0;
     std::string target;
+    std::uint32_t slot = 0;
     Millis sentAt {};
     std::optional<Millis> took; // nothing before the end
     int status = 0; // 0 without an answer
@@ -43,6 +46,7 @@
     }
 
     const std::map<std::string, SentRequest>& requests() const { return m_requests; }
+    std::size_t hostCount() const { return m_site.gateways.size(); }
 
     // Sends requests for so long.
     void run(Millis duration)
@@ -59,8 +63,9 @@
             const std::string target = kTargets.at((m_round + host) % kTargets.size());
             const std::string id = "t" + std::to_string(m_round) + "-" + std::to_string(host);
             HttpCall call = m_site.call(target, id, host);
-            call.headers.back().second = std::to_string((m_round * 5 + host) * 9973 % kKeySlots);
             SentRequest& sent = m_requests[id];
+            sent.slot = static_cast<std::uint32_t>((m_round * 5 + host) * 9973 % kKeySlots);
+            call.headers.back().second = std::to_string(sent.slot);
             sent.host = host;
             sent.target = target;
             sent.sentAt = monotonicNow();
@@ -103,11 +108,14 @@
 
 void checkServedAlike(const Traffic& traffic, const std::set<std::size_t>& cut, Millis from, Millis to)
 {
+    const std::size_t hostCount = traffic.hostCount();
     const Share atCut = shareOf(traffic, cut, false, from, to);
     const Share atOthers = shareOf(traffic, cut, true, from, to);
     BOOST_TEST_MESSAGE("served " << atCut.served << " of " << atCut.sent << " at cut hosts, " << atOthers.served
                                  << " of " << atOthers.sent << " at others");
     BOOST_TEST(atCut.value() >= kMinServedShare);
+    if (cut.size() == hostCount)
+        return;
     BOOST_TEST(atOthers.value() >= kMinServedShare);
     BOOST_TEST(std::abs(atCut.value() - atOthers.value()) <= kMaxGap);
 }
@@ -199,6 +207,110 @@
     checkRuns(site, traffic);
 }
 
+// Cuts all hosts off for some seconds: requests are refused at once, with the time to come back, and served after it.
+void checkCutOfAll(Cut cut)
+{
+    CutSite site;
+    BOOST_REQUIRE(isServedEverywhere(site));
+    Traffic traffic(site);
+    traffic.run(Millis(500));
+    const std::set<std::size_t> hosts { 0, 1, 2, 3, 4 };
+    const Millis cutAt = monotonicNow();
+    site.cut(hosts, cut);
+    traffic.run(kRecovery + Millis(2000));
+    const Millis healedAt = monotonicNow();
+    site.cut(hosts, Cut::none);
+    checkHealed(site, traffic, hosts);
+    unsigned sent = 0, late = 0, other = 0;
+    for (const auto& [id, it] : traffic.requests()) {
+        // Requests under way when the cut was healed may be served.
+        if (it.sentAt < cutAt + kRecovery || healedAt < it.sentAt + kMaxRefusalTime)
+            continue;
+        ++sent;
+        late += *it.took > kMaxRefusalTime;
+        other += it.status != 503 || !it.hasRetryAfter;
+    }
+    BOOST_TEST_MESSAGE(
+        late << " of " << sent << " answered late, " << other << " not refused with the time to come back");
+    BOOST_TEST(sent > 0u);
+    BOOST_TEST(late == 0u);
+    BOOST_TEST(other == 0u);
+    checkRuns(site, traffic);
+}
+
+// One upstream is lost to all hosts, while no host is cut off: requests for the others' slots are served meanwhile.
+void checkLossOfOneUpstream(Cut cut)
+{
+    CutSite site;
+    BOOST_REQUIRE(isServedEverywhere(site));
+    Traffic traffic(site);
+    traffic.run(Millis(500));
+    RangeUpstream* lost = site.holder(kSlot);
+    BOOST_REQUIRE(lost);
+    std::set<std::uint32_t> lostSlots;
+    for (std::uint32_t slot = 0; slot < kKeySlots; ++slot) {
+        if (lost->holds(slot))
+            lostSlots.insert(slot);
+    }
+    const Millis lostAt = monotonicNow();
+    site.cutUpstream(*lost, cut);
+    traffic.run(Millis(3500));
+    traffic.stop();
+    BOOST_TEST(site.runLoopUntil([&] { return traffic.isOver(); }));
+    Share others, pooled;
+    for (const auto& [id, it] : traffic.requests()) {
+        if (it.sentAt < lostAt)
+            continue;
+        Share& share = it.target == "/pool/x" ? pooled : others;
+        if (it.target != "/pool/x" && lostSlots.count(it.slot))
+            continue;
+        ++share.sent;
+        share.served += it.status == 200;
+    }
+    BOOST_TEST_MESSAGE("served " << others.served << " of " << others.sent << " for others' slots, " << pooled.served
+                                 << " of " << pooled.sent << " pooled");
+    BOOST_TEST(others.value() >= kMinServedShare);
+    BOOST_TEST(pooled.value() >= kMinServedShare);
+    checkRuns(site, traffic);
+}
+
+// Bodies of 100 KB that are sent to hosts that are cut off arrive whole and run once.
+void checkBodies(Cut cut)
+{
+    CutSite site;
+    BOOST_REQUIRE(isServedEverywhere(site));
+    Traffic traffic(site);
+    const std::set<std::size_t> hosts = allButOne(site, true);
+    site.cut(hosts, cut);
+    traffic.run(kRecovery);
+    traffic.stop();
+    std::string body(100000, 'x');
+    for (std::size_t n = 0; n < body.size(); ++n)
+        body[n] = static_cast<char>('a' + n % 23);
+    std::map<std::string, int> statuses;
+    for (const std::string target : { "/up/x", "/unsafe/x" }) {
+        for (const auto host : hosts) {
+            const std::string id = target + std::to_string(host);
+            HttpCall call = site.call(target, id, host);
+            call.body = body;
+            site.client.start(std::move(call), [&statuses, id](HttpOutcome outcome) {
+                const auto* answer = std::get_if<HttpAnswer>(&outcome);
+                statuses[id] = answer ? answer->status : 0;
+            });
+        }
+    }
+    BOOST_TEST(site.runLoopUntil([&] { return statuses.size() == 2 * hosts.size() && traffic.isOver(); }));
+    for (const auto& [id, status] : statuses) {
+        BOOST_TEST(status == 200, id << " was answered " << status);
+        BOOST_TEST(site.runCount(id) == 1u);
+    }
+    for (const auto& upstream : site.upstreams) {
+        for (const auto& it : upstream->received)
+            BOOST_TEST((!statuses.count(it.id) || it.body == body));
+    }
+    checkRuns(site, traffic);
+}
+
 // What became of a connection within a fifth of a second.
 enum class Connected { yes, refused, hangs };
 
@@ -255,3 +367,66 @@
 BOOST_AUTO_TEST_CASE(requestsAreServedWhileOnlyKeptConnectionsOfMostHostsLive) { checkCut(false, Cut::keptLive); }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ReachOfOthers)
+
+// Guards against large bodies that only the host that received them sends, although its connections hang.
+BOOST_AUTO_TEST_CASE(bodiesSentToHostsWhoseConnectionsHangArriveWhole) { checkBodies(Cut::silent); }
+
+// Guards against large bodies that only the host that received them sends, although all upstreams refuse it.
+BOOST_AUTO_TEST_CASE(bodiesSentToRefusedHostsArriveWhole) { checkBodies(Cut::refused); }
+
+// Guards against hosts that take the loss of one upstream for a cut of their own.
+BOOST_AUTO_TEST_CASE(slotsOfOtherUpstreamsAreServedWhileOneRefusesAllHosts) { checkLossOfOneUpstream(Cut::refused); }
+
+// Guards against hosts that take one upstream that hangs for a cut of their own.
+BOOST_AUTO_TEST_CASE(slotsOfOtherUpstreamsAreServedWhileOneHangs) { checkLossOfOneUpstream(Cut::silent); }
+
+// Guards against callers who wait for their deadline, or do not learn when to come back, while connections of all hosts
+// hang.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceWhileConnectionsOfAllHostsHang) { checkCutOfAll(Cut::silent); }
+
+// Guards against callers who do not learn when to come back while all hosts are refused.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceWhileAllHostsAreRefused) { checkCutOfAll(Cut::refused); }
+
+// Guards against hosts that start during a cut and do not learn which hosts reach the upstreams.
+BOOST_AUTO_TEST_CASE(hostsThatStartDuringACutServeLikeTheOthers)
+{
+    CutSite site(4);
+    BOOST_REQUIRE(isServedEverywhere(site));
+    Traffic traffic(site);
+    traffic.run(Millis(500));
+    std::set<std::size_t> cut = allButOne(site, true);
+    site.cut(cut, Cut::refused);
+    traffic.run(Millis(300));
+    cut.insert(4);
+    site.cut({ 4 }, Cut::refused);
+    site.addHost(4);
+    site.addHost(5);
+    const Millis startedAt = monotonicNow();
+    traffic.run(kRecovery + kObserved);
+    traffic.stop();
+    BOOST_TEST(site.runLoopUntil([&] { return traffic.isOver(); }));
+    checkServedAlike(traffic, cut, startedAt + kRecovery, Millis::max());
+    checkRuns(site, traffic);
+}
+
+// Guards against upstreams that only hosts of their own data centre coordinate, all of which are cut off.
+BOOST_AUTO_TEST_CASE(requestsAreServedWhileAllHostsOfTheUpstreamsDataCentreAreCutOff)
+{
+    CutSite site(3);
+    site.addHost(3, "z2");
+    site.addHost(4, "z2");
+    BOOST_REQUIRE(isServedEverywhere(site));
+    Traffic traffic(site);
+    traffic.run(Millis(500));
+    const Millis cutAt = monotonicNow();
+    site.cut({ 0, 1, 2 }, Cut::silent);
+    traffic.run(kRecovery + kObserved);
+    traffic.stop();
+    BOOST_TEST(site.runLoopUntil([&] { return traffic.isOver(); }));
+    checkServedAlike(traffic, { 0, 1, 2 }, cutAt + kRecovery, Millis::max());
+    checkRuns(site, traffic);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
