Range leader: moves after a planned change of leader wait for the owner's proof

An upstream that left right after a planned change of leader released its slots at once, and they had no owner until the grants of the leader before had expired: 3.1 s.

A range whose owner is about to give that proof moves after it, by a release and a grant: the wait is at most order_timeout_ms, a renewal interval and an answer, and only for owners that can be reached, while every previous leader is known to have stopped. A new leader also asks its predecessors at once; its first question had waited 300 ms, because the tick before it had found nobody to ask.

After a silent loss of the leader nothing is saved: a move waits up to 6.6 s by calculation from the defaults.

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -142,6 +142,20 @@
     return state.hasEarlierGrants && bootNow() < earlierGrantsEnd();
 }
 
+// Whether the owner of a range is about to prove that previous leaders' grants cannot be valid, by its next renewal. A
+// move before that would wait for those grants to expire, with slots that have no owner.
+bool RangeLeader::awaitsProof(const Range& range) const
+{
+    const auto state = m_rangeStates.find(keyOf(range));
+    const auto earlierEnd = earlierOrdersEnd();
+    if (state == m_rangeStates.end() || !earlierEnd || !state->second.active || !mayHaveEarlierGrants(state->second))
+        return false;
+    const InstanceEntry* owner = m_context.directory.findInstance(range.owner);
+    return owner && !owner->entryGone && !isUnreachable(range.owner)
+        && bootNow()
+        < *earlierEnd + renewalInterval(m_table.ranges.size()) + Millis(m_context.settings.limits.orderTimeoutMs);
+}
+
 // The lease of the table's writer has ended by now, since this host leads. Those of the writers before it had ended for
 // some time when the table was written, which was at the latest when it arrived here.
 void RangeLeader::loadPreviousLeaders(const StoredTable& stored)
@@ -152,6 +166,7 @@
         m_previousLeaders[it.writer].leaseEndedBy = stored.receivedAt - it.leaseEndedFor;
     m_earlierGrantTtl = stored.table.grantTtl;
     m_loadedRevision = stored.revision;
+    m_nextQueryAt = Millis(0);
     checkPreviousLeaders();
 }
 
@@ -287,6 +302,9 @@
     BalancePolicy policy;
     policy.maxMoves = std::max(policy.maxMoves, static_cast<unsigned>(eligible.size() / kOwnersPerMove));
     for (const auto& it : planMoves(ranges, eligible, loads, fixed, policy)) {
+        const Range* current = findRange(m_table, it.first);
+        if (current && awaitsProof(*current))
+            continue;
         logEvent(EventKind::state, "move",
             { { "service", m_service }, { "first", it.first.value }, { "last", it.last.value }, { "to", it.to.name } });
         assign(ranges, it.first, it.last, it.to);
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -101,6 +101,7 @@
     Millis earlierGrantsEnd() const;
     std::optional<Millis> earlierOrdersEnd() const;
     bool mayHaveEarlierGrants(const RangeState&) const;
+    bool awaitsProof(const Range&) const;
     bool hasWriterEnded(const std::string& writer) const;
     std::string writerName() const;
     void loadPreviousLeaders(const StoredTable&);
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -329,6 +329,29 @@
     BOOST_TEST(!site.hasTwoHoldersUntilTheEarlierLeadersEnd());
 }
 
+// Guards against slots without an owner for longer than needed when their upstream leaves right after a planned change
+// of leader: the grants of the leader before need not expire, because each owner soon proves that they cannot be valid.
+BOOST_AUTO_TEST_CASE(slotsOfAnUpstreamThatLeavesAfterAPlannedChangeOfLeaderMoveByRelease)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed());
+    const auto leader = leadingHost(site);
+    RangeUpstream* owner = site.holder(kSlot);
+    BOOST_REQUIRE(owner && leader);
+    const std::uint64_t fence = owner->highestFence(kSlot);
+    site.gateways[*leader]->beginStop();
+    BOOST_REQUIRE(site.runLoopUntil([&] { return owner->highestFence(kSlot) > fence; }));
+    site.store.put("servers/" + owner->name(), owner->entry("draining"));
+    std::optional<Millis> releasedAt;
+    BOOST_TEST(site.runLoopUntil([&] {
+        if (!releasedAt && !owner->holds(kSlot))
+            releasedAt = monotonicNow();
+        return releasedAt && site.holderCount(kSlot) == 1;
+    }));
+    BOOST_REQUIRE(releasedAt);
+    BOOST_TEST((monotonicNow() - *releasedAt).count() < 1000); // a grant lasts 2.5 s
+}
+
 // Guards against two holders of a slot in any order of restarts, late grants, losses of hosts and outages of the store.
 // More seeds: PISTACHIOSPUR_RESTART_SEEDS="FIRST COUNT".
 BOOST_AUTO_TEST_CASE(slotsHaveOneHolderUnderRandomRestarts)
