Range leader: the wait for unknown grants covers those of the slowest host

After the store came back from an older copy, a new leader waits until grants of leaders that it does not know of have expired. It computed their length with its own processor share. A slower host renews less often where ranges are many, and its grants last longer, up to greatest_hold_ms, so the wait could end while one was valid.

The wait now takes the least processor share of all hosts that this one knows, from their entries.

What remains: a host that the returned store does not know.

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -25,6 +25,15 @@
 // Assumed mean run time of an upstream's requests until one has been reported.
 constexpr double kDefaultRunMs = 170;
 
+// Time between two grants of a range: renewalIntervalMs, or longer if the grant rate of a host with this processor time
+// does not allow that for all ranges.
+Millis renewalIntervalAt(const GatewayLimits& limits, std::size_t rangeCount, std::int64_t processorPercent)
+{
+    const std::int64_t grantsPerSecond = std::max<std::int64_t>(1, limits.ordersPerCore * processorPercent / 100);
+    const Millis paced(static_cast<std::int64_t>(rangeCount) * 1000 / grantsPerSecond);
+    return std::max(Millis(limits.renewalIntervalMs), paced);
+}
+
 } // namespace
 
 RangeLeader::RangeLeader(GatewayContext& context, ServiceName service)
@@ -58,38 +67,44 @@
     return m_isLeader && bootNow() < m_leaseValidUntil + Millis(m_context.settings.limits.outageMs);
 }
 
-// Until when grants may be valid that a leader of an earlier era sent without this host's knowledge. Its lease may have
-// been renewed just before the store came back without it.
+// Until when grants may be valid that a leader of an earlier era, on any host, sent without this host's knowledge. Its
+// lease may have been renewed just before the store came back without it.
 Millis RangeLeader::unknownGrantsEnd() const
 {
     const auto& limits = m_context.settings.limits;
     std::size_t owners = 0;
     for (const auto& [name, entry] : m_context.directory.instances())
         owners += entry.instance.service == m_service;
-    const Millis ttl = std::max({ grantTtlFor(kMaxPacedRangesPerOwner * owners), m_earlierGrantTtl, m_table.grantTtl });
+    const Millis ttl = std::max(
+        { grantTtlFor(kMaxPacedRangesPerOwner * owners, slowestHostsPercent()), m_earlierGrantTtl, m_table.grantTtl });
     return m_leaderSince + m_lease.ttl() + Millis(limits.outageMs) + Millis(limits.orderTimeoutMs) + longestGrant(ttl);
 }
 
-// Time between two grants of a range: renewalIntervalMs, or longer if this host's grant rate does not allow that for
-// all ranges.
+// Time between two grants of a range by this host.
 Millis RangeLeader::renewalInterval(std::size_t rangeCount) const
 {
-    const auto& limits = m_context.settings.limits;
-    const std::int64_t grantsPerSecond
-        = std::max<std::int64_t>(1, limits.ordersPerCore * m_context.settings.processorPercent / 100);
-    const Millis paced(static_cast<std::int64_t>(rangeCount) * 1000 / grantsPerSecond);
-    return std::max(Millis(limits.renewalIntervalMs), paced);
+    return renewalIntervalAt(m_context.settings.limits, rangeCount, m_context.settings.processorPercent);
 }
 
-// TTL of grants under a table with this many ranges. It grows with the renewal interval, so that several renewals fit
-// into it, up to maxGrantTtlMs.
-Millis RangeLeader::grantTtlFor(std::size_t rangeCount) const
+// TTL of a host's grants under a table with this many ranges. It grows with the renewal interval, so that several
+// renewals fit into it, up to maxGrantTtlMs.
+Millis RangeLeader::grantTtlFor(std::size_t rangeCount, std::int64_t processorPercent) const
 {
     const auto& limits = m_context.settings.limits;
-    const Millis paced = limits.grantTtlMs * renewalInterval(rangeCount) / limits.renewalIntervalMs;
+    const Millis interval = renewalIntervalAt(limits, rangeCount, processorPercent);
+    const Millis paced = limits.grantTtlMs * interval / limits.renewalIntervalMs;
     return std::min(Millis(limits.maxGrantTtlMs), std::max(Millis(limits.grantTtlMs), paced));
 }
 
+// Processor time, in percent of one core, of the known host that has the least. Its grants last longest.
+std::int64_t RangeLeader::slowestHostsPercent() const
+{
+    std::int64_t slowest = m_context.settings.processorPercent;
+    for (const auto& [host, entry] : m_context.directory.hosts())
+        slowest = std::min(slowest, std::max<std::int64_t>(1, static_cast<std::int64_t>(entry.weight * 100)));
+    return slowest;
+}
+
 std::string RangeLeader::writerName() const
 {
     return m_context.settings.host + "#" + std::to_string(m_context.incarnation.value);
@@ -421,7 +436,8 @@
         for (const auto& it : table.ranges)
             owners.insert(it.owner);
         const std::size_t pacedRanges = std::min(table.ranges.size(), kMaxPacedRangesPerOwner * owners.size());
-        table.grantTtl = std::max({ grantTtlFor(pacedRanges), m_table.grantTtl, m_earlierGrantTtl });
+        table.grantTtl = std::max(
+            { grantTtlFor(pacedRanges, m_context.settings.processorPercent), m_table.grantTtl, m_earlierGrantTtl });
         for (const auto& [writer, leader] : m_previousLeaders) {
             if (!leader.stoppedAt)
                 table.previousWriters.push_back({ writer, bootNow() - leader.leaseEndedBy });
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -97,7 +97,8 @@
     bool mayRenew() const;
     Millis unknownGrantsEnd() const;
     Millis renewalInterval(std::size_t rangeCount) const;
-    Millis grantTtlFor(std::size_t rangeCount) const;
+    Millis grantTtlFor(std::size_t rangeCount, std::int64_t processorPercent) const;
+    std::int64_t slowestHostsPercent() const;
     Millis earlierGrantsEnd() const;
     std::optional<Millis> earlierOrdersEnd() const;
     bool mayHaveEarlierGrants(const RangeState&) const;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -99,7 +99,8 @@
         return *upstreams.back();
     }
 
-    void addHost(int n, const PlatformAdapter& adapter = platform::kvPlatformAdapter(), const char* dataCentre = "z1")
+    void addHost(int n, const PlatformAdapter& adapter = platform::kvPlatformAdapter(), const char* dataCentre = "z1",
+        std::int64_t processorPercent = 100)
     {
         GatewaySettings settings;
         settings.host = "h" + std::to_string(n);
@@ -109,6 +110,7 @@
         settings.peers = ports.reserve();
         settings.admin = ports.reserve();
         settings.store = store.endpoint();
+        settings.processorPercent = processorPercent;
         for (const auto& it : gatewayOptions())
             settings.limits.*it.field = it.defaultValue;
         gateways.push_back(std::make_unique<Gateway>(settings, "", adapter));
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -112,6 +112,28 @@
     BOOST_TEST(site.fencesRise());
 }
 
+// Guards against a wait that ends while grants of a slower host may be valid: they last longer, since it renews less
+// often.
+BOOST_AUTO_TEST_CASE(waitForUnknownGrantsCoversThoseOfTheSlowestHost)
+{
+    constexpr std::int64_t kSlowPercent = 1; // 10 grants a second
+    // Four ranges of each of three upstreams are renewed every 1.2 s instead of 0.6 s, so grants last 5 s instead
+    // of 2.5.
+    constexpr Millis kLongestGrant = longestGrant(Millis(5000));
+    constexpr Millis kRight { 1200 + 3500 + 400 }; // lease, outage_ms and order_timeout_ms
+    Fixture site(1);
+    site.addHost(1, platform::kvPlatformAdapter(), "z1", kSlowPercent);
+    BOOST_REQUIRE(site.waitUntilServed());
+    site.store.saveCopy();
+    site.gateways.clear();
+    site.store.restoreCopy(true);
+    site.addHost(0);
+    const auto table = [&] { return decodeRangeTable(site.store.value("pistachiospur/ranges/keyed"), {}); };
+    BOOST_REQUIRE(site.runLoopUntil([&] { return table() && table()->era == StoreEra { 2 }; }));
+    BOOST_TEST(table()->writer.compare(0, 3, "h0#") == 0);
+    BOOST_TEST((kRight + kLongestGrant - table()->unknownGrantsFor).count() < 1000); // from election to write
+}
+
 // Guards against keys without an owner, or with two, after a restore that the leader lives through: what it knows of
 // the grants still holds, although the store knows less.
 BOOST_AUTO_TEST_CASE(leaderThatLivesThroughARestoreKeepsItsTable)
