Records of hosts and leaders: one that cannot be read costs itself alone

What callers saw, in our test: with one host's or leader's entry in the store whose field has another type, a host that starts never serves, and one that runs stops following the store: the read or batch in which the entry came broke off, with all that came with it, and was not taken up again. A port of 70000 was cut to the 16 bits of its field, a negative era became the greatest one, and a record of an era that is yet to come outranked every later record of its key.

Cause: Directory read these records with the JSON library's value(), which throws for another type and narrows numbers.

The records have a file of their own (gateway/records) and are read with FieldReader, which got counter() and an endpoint of two fields: each field has its type and range, ports are 1 to 65535, an era is at most that of the store's answer. A record with a fault is logged as host_entry_refused or leader_entry_refused and treated as deleted, as one that is no JSON was.

Remains: a leader record that cannot be read and is under no lease keeps its service without a leader, since candidates expect that there is none; as before for one that is no JSON.

--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr Bounds kPortBounds { 1, 65535 };
 constexpr const char* kEndpointFormat = "\"address:port\" with a numeric IP address and a port from 1 to 65535";
 
 std::string boundsText(Bounds bounds)
@@ -173,6 +174,26 @@
     return defaultValue;
 }
 
+std::uint64_t FieldReader::counter(const char* field, std::uint64_t max)
+{
+    const std::string allowed = "an integer from 0 to " + std::to_string(max);
+    const Json* value = find(field, true, allowed.c_str());
+    if (!value)
+        return 0;
+    const auto n = integerIn<std::uint64_t>(*value);
+    if (n && *n <= max)
+        return *n;
+    addFault(
+        value->is_number_integer() ? FieldFault::outOfRange : FieldFault::wrongType, field, value->dump(), allowed);
+    return 0;
+}
+
+std::uint64_t FieldReader::counterOr(const char* field, std::uint64_t max, std::uint64_t defaultValue)
+{
+    m_knownFields.insert(field);
+    return has(field) ? counter(field, max) : defaultValue;
+}
+
 double FieldReader::fractionOr(const char* field, double defaultValue) { return numberOr(field, 0, 1, defaultValue); }
 
 bool FieldReader::flagOr(const char* field, bool defaultValue)
@@ -247,6 +268,14 @@
     return {};
 }
 
+Endpoint FieldReader::endpoint(const char* addressField, const char* portField)
+{
+    Endpoint found { text(addressField), static_cast<std::uint16_t>(integer(portField, kPortBounds)) };
+    if (!found.address.empty() && !parseEndpoint(found.text()))
+        addFault(FieldFault::outOfRange, addressField, Json(found.address).dump(), "a numeric IP address");
+    return found;
+}
+
 std::vector<Endpoint> FieldReader::endpoints(const char* field)
 {
     std::vector<Endpoint> found;
--- a/src/config/fields.h
+++ b/src/config/fields.h
@@ -37,6 +37,9 @@
     std::int64_t roundedIntegerOr(const char* field, Bounds, std::int64_t defaultValue);
     // A number, which may have a fraction, from `min` to `max`.
     double numberOr(const char* field, double min, double max, double defaultValue);
+    // A number of a series, such as a revision: an integer from 0 to `max`.
+    std::uint64_t counter(const char* field, std::uint64_t max);
+    std::uint64_t counterOr(const char* field, std::uint64_t max, std::uint64_t defaultValue);
     double fractionOr(const char* field, double defaultValue);
     bool has(const char* field) const { return m_object.is_object() && m_object.contains(field); }
     bool flagOr(const char* field, bool defaultValue);
@@ -47,6 +50,8 @@
     std::vector<Json> objects(const char* field, std::size_t minCount);
     // "address:port" with a numeric IP address.
     Endpoint endpoint(const char* field);
+    // A numeric IP address and a port from 1 to 65535 in fields of their own.
+    Endpoint endpoint(const char* addressField, const char* portField);
     std::vector<Endpoint> endpoints(const char* field);
 
     // Marks a field as known that the caller reads without this reader.
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -1,17 +1,14 @@
 #include "directory.h"
 
-#include "io/json.h"
 #include "observe/events.h"
 
 #include <boost/leaf/handle_errors.hpp>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
 namespace pistachiospur {
 
 namespace leaf = boost::leaf;
-using Json = nlohmann::json;
 
 namespace {
 
@@ -38,7 +35,6 @@
 constexpr std::size_t kMaxLoggedFaults = 100; // of configurations
 // A host whose entry was deleted stays in use for this long, unless the link to it is lost.
 constexpr Millis kLostHostGrace { 2500 };
-constexpr double kMinWeight = 0.01; // rendezvous hashing divides by the weight
 // How long the entry of a gone instance is kept after new work for it ended, because its endpoint is still needed.
 // Longer than any grant.
 constexpr Millis kGoneInstanceRetention { 15000 };
@@ -49,8 +45,6 @@
     return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-Json parse(const KeyChange& change) { return change.text ? parseJson(*change.text) : Json(); }
-
 } // namespace
 
 std::string leaderKey(const ServiceName& service) { return kLeaderPrefix + service; }
@@ -59,24 +53,6 @@
     return kClaimPrefix + service + "/" + claim;
 }
 
-std::string encode(const LeaderEntry& entry)
-{
-    return Json {
-        { "host", entry.host }, { "incarnation", entry.incarnation.value }, { "lease", entry.lease.value },
-        { "claim", entry.claim }, { "era", eraOf(entry.version).value }
-    }.dump();
-}
-
-std::optional<LeaderEntry> decodeLeaderEntry(const std::string& text, StoreRevision stored)
-{
-    const Json record = parseJson(text);
-    if (!record.is_object())
-        return std::nullopt;
-    return LeaderEntry { record.value("host", ""), { record.value("incarnation", std::uint64_t(0)) },
-        { record.value("lease", std::uint64_t(0)) }, record.value("claim", ""),
-        inEra({ record.value("era", std::uint64_t(0)) }, stored) };
-}
-
 std::string tableKey(const ServiceName& service) { return kTablePrefix + service; }
 bool isTableKey(const std::string& key) { return beginsWith(key, kTablePrefix); }
 
@@ -369,8 +345,10 @@
 
 void Directory::applyHost(const HostName& name, const KeyChange& change)
 {
-    const Json record = parse(change);
-    if (!record.is_object()) {
+    std::vector<FieldError> faults;
+    auto decoded = change.text ? decodeHostEntry(name, *change.text, change.version, faults) : std::nullopt;
+    if (!decoded) {
+        logRefusal("host_entry_refused", change, faults);
         const auto known = m_hosts.find(name);
         if (known != m_hosts.end() && !known->second.entryGoneSince) {
             known->second.entryGoneSince = monotonicNow();
@@ -379,14 +357,7 @@
         }
         return;
     }
-    HostEntry entry;
-    entry.host = name;
-    entry.dataCentre = record.value("data_centre", "");
-    entry.peers = { record.value("address", ""), record.value("port", std::uint16_t(0)) };
-    entry.incarnation = { record.value("incarnation", std::uint64_t(0)) };
-    entry.weight = std::max(kMinWeight, record.value("weight", 1.0));
-    entry.leaving = record.value("leaving", false);
-    entry.version = inEra({ record.value("era", std::uint64_t(0)) }, change.version);
+    HostEntry entry = std::move(*decoded);
     const auto known = m_hosts.find(name);
     // An older entry, from an older copy of the store: its host writes it again.
     if (known != m_hosts.end() && !known->second.entryGoneSince && entry.version < known->second.version)
@@ -402,12 +373,23 @@
 
 void Directory::applyLeader(const ServiceName& service, const KeyChange& change)
 {
-    if (auto entry = change.text ? decodeLeaderEntry(*change.text, change.version) : std::nullopt)
-        setLeader(service, std::move(*entry));
-    else if (m_leaders.erase(service))
+    std::vector<FieldError> faults;
+    if (auto entry = change.text ? decodeLeaderEntry(*change.text, change.version, faults) : std::nullopt)
+        return setLeader(service, std::move(*entry));
+    logRefusal("leader_entry_refused", change, faults);
+    if (m_leaders.erase(service))
         logEvent(EventKind::state, "leader_gone", { { "service", service } });
 }
 
+// Logs an entry that cannot be read; no faults: there is nothing to log.
+void Directory::logRefusal(const char* event, const KeyChange& change, const std::vector<FieldError>& faults)
+{
+    if (!faults.empty())
+        logEvent(EventKind::state, event,
+            { { "key", change.key }, { "revision", textOf(change.version) }, { "reason", describe(faults.front()) },
+                { "faults", faults.size() } });
+}
+
 void Directory::recordLeader(const ServiceName& service, LeaderEntry entry)
 {
     if (mergeRecord(m_known, leaderKey(service), entry.version))
@@ -520,11 +502,9 @@
 {
     if (m_lease.id() == kNoLease)
         return;
-    const Json record = { { "data_centre", m_settings.dataCentre }, { "address", m_settings.peers.address },
-        { "port", m_settings.peers.port }, { "incarnation", m_incarnation.value },
-        { "weight", static_cast<double>(m_settings.processorPercent) / 100 }, { "leaving", m_leaving },
-        { "era", m_store->era().value } };
-    const std::string key = kHostPrefix + m_settings.host, text = record.dump();
+    const HostEntry entry { m_settings.host, m_settings.dataCentre, m_settings.peers, m_incarnation,
+        static_cast<double>(m_settings.processorPercent) / 100, m_leaving, inEra(m_store->era(), {}), std::nullopt };
+    const std::string key = kHostPrefix + m_settings.host, text = encode(entry);
     m_hostEntryWritePending = true;
     const ConditionalWrite write { { { key, m_hostEntryVersion } }, { { key, text, m_lease.id() } } };
     m_store->write(write, [this, key, text](const WriteResult& result) {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -2,6 +2,7 @@
 
 #include "adapter.h"
 #include "lease.h"
+#include "records.h"
 #include "settings.h"
 #include "store/versions.h"
 
@@ -14,27 +15,6 @@
 // writes this host's own entry to the store, under a lease.
 namespace pistachiospur {
 
-struct HostEntry {
-    HostName host;
-    DataCentreName dataCentre;
-    Endpoint peers; // where the host accepts connections of other hosts
-    Incarnation incarnation;
-    double weight = 1; // for rendezvous hashing: the processor cores that the host may use
-    bool leaving = false;
-    StoreRevision version; // of its entry, in the era in which its host wrote it
-    std::optional<Millis> entryGoneSince; // monotonic clock; set once the host's entry is deleted
-};
-
-// The range leader of a service, as recorded in the store.
-struct LeaderEntry {
-    HostName host;
-    Incarnation incarnation;
-    LeaseId lease; // the record is deleted when this lease ends
-    // Names this election like no other. A key with this name is written and deleted together with the record.
-    std::string claim;
-    StoreRevision version; // in the era in which its host was elected; in any later era the record does not count
-};
-
 struct StoredTable {
     RangeTable table;
     StoreRevision revision;
@@ -53,9 +33,6 @@
 // The key of a leader's claim. A write that expects it takes effect only under this very record: the versions of the
 // record itself are given out again when the store comes back from an older copy.
 std::string claimKey(const ServiceName&, const std::string& claim);
-// The text of a leader record, and the record of a text; nothing if it is not one. `stored` is the key's version.
-std::string encode(const LeaderEntry&);
-std::optional<LeaderEntry> decodeLeaderEntry(const std::string& text, StoreRevision stored);
 std::string tableKey(const ServiceName&);
 bool isTableKey(const std::string& key);
 
@@ -154,6 +131,7 @@
     void applyUpstreamGone(const UpstreamName&, const KeyChange&);
     void applyHost(const HostName&, const KeyChange&);
     void applyLeader(const ServiceName&, const KeyChange&);
+    void logRefusal(const char* event, const KeyChange&, const std::vector<FieldError>&);
     void setLeader(const ServiceName&, LeaderEntry);
     void applyTable(const KeyChange&);
     void onStoreFailure(const char* call, const StoreError&);
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -372,4 +372,47 @@
     BOOST_TEST(host.directory.routes()->version.value == 8u);
 }
 
+// Guards against values that are cut to the width of their field: a port of 70000 was taken for 4464.
+BOOST_AUTO_TEST_CASE(entryOfAHostWithAPortOutOfRangeIsRefused)
+{
+    const auto entry = [](const std::string& port) {
+        return R"({"data_centre":"z","address":"10.0.0.1","incarnation":1,"port":)" + port + "}";
+    };
+    for (const char* port : { "0", "-1", "65536", "70000", "1e400", "18446744073709551616", "\"80\"" }) {
+        Fixture host;
+        const std::string prefix = "pistachiospur/hosts/";
+        host.store.answerLastRead(host.snapshot(100,
+            { { prefix + "a", { entry("80"), { 90 } } }, { prefix + "odd", { entry(port), { 91 } } },
+                { prefix + "z", { entry("80"), { 92 } } }, { host.upstreamKey, { "up", { 93 } } } }));
+        BOOST_TEST(!host.directory.hosts().count("odd"), port);
+        BOOST_TEST(host.directory.hosts().size() == 2u, port);
+        BOOST_TEST(host.isInUse("u1"), port);
+    }
+}
+
+// Guards against records that no later one replaces, because they name an era that the store has not come to.
+BOOST_AUTO_TEST_CASE(recordOfAnEraYetToComeDoesNotOutrankLaterOnes)
+{
+    const std::string hostKey = "pistachiospur/hosts/a";
+    const auto hostText = [](const std::string& era, const std::string& incarnation) {
+        return R"({"data_centre":"z","address":"10.0.0.1","port":80,"incarnation":)" + incarnation + R"(,"era":)" + era
+            + "}";
+    };
+    const auto leaderText = [](const std::string& era, const std::string& host) {
+        return R"({"host":")" + host + R"(","incarnation":1,"lease":1,"claim":"c","era":)" + era + "}";
+    };
+    for (const char* era : { "-1", "7", "18446744073709551615" }) {
+        Fixture host;
+        host.store.answerLastRead(host.snapshot(100,
+            { { hostKey, { hostText(era, "1"), { 90 } } }, { leaderKey("s"), { leaderText(era, "odd"), { 91 } } } }));
+        host.directory.setWatching(false);
+        host.relay(100, 110, hostKey, hostText("0", "2"));
+        host.relay(110, 120, leaderKey("s"), leaderText("0", "b"));
+        BOOST_REQUIRE(host.directory.hosts().count("a"));
+        BOOST_TEST(host.directory.hosts().at("a").incarnation.value == 2u, era);
+        BOOST_REQUIRE(host.directory.leaderOf("s"));
+        BOOST_TEST(host.directory.leaderOf("s")->host == "b", era);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
