Messages of other hosts: numbers are not narrowed, and enumerators are known ones

By reading, not seen on a site: a refusal whose reason this version does not know, as a later version may send, was used as an index into a table of 27 reasons; a port of 70000 became 4464, a negative incarnation the greatest one, a run time without a finite value went into the plan of a range leader.

Cause: the JSON library casts any number to the member's type, and any number to an enumerator.

unpack() reads numbers and enumerators of messages with their range now (peers/codec.h); a message that does not fit is refused as any other that cannot be read: its link closes and is made again, which is logged as message_refused now. A host of a later version that sends a reason unknown here costs the requests on that link.

--- a/src/peers/codec.h
+++ b/src/peers/codec.h
@@ -1,32 +1,80 @@
 #pragma once
 
+#include "io/json.h"
 #include "messages.h"
 
-#include <nlohmann/json.hpp>
+#include <cmath>
+#include <stdexcept>
+#include <type_traits>
 
 // Conversions of the basic types to the JSON model that the CBOR encoder reads. A struct is encoded as an array of its
 // members, without names, to keep frames small; so the order of the members is part of the wire format.
 namespace pistachiospur {
 
+// The number in a value. Throws instead of changing a number that its type cannot hold.
+template <typename Number> Number numberIn(const nlohmann::json& j)
+{
+    if constexpr (std::is_floating_point_v<Number>) {
+        if (!j.is_number() || !std::isfinite(j.get<Number>()))
+            throw std::out_of_range("no finite number");
+        return j.get<Number>();
+    } else {
+        const auto number = integerIn<Number>(j);
+        if (!number)
+            throw std::out_of_range("no integer of the member's range");
+        return *number;
+    }
+}
+
+// How many enumerators an enumeration of the messages has; they are numbered from zero.
+template <typename Enumeration> constexpr std::size_t kEnumerators = 0;
+template <> inline constexpr std::size_t kEnumerators<HostState> = 3;
+template <> inline constexpr std::size_t kEnumerators<Ran> = 2;
+template <> inline constexpr std::size_t kEnumerators<RateNotice::Kind> = 3;
+template <> inline constexpr auto kEnumerators<RefusalReason> = static_cast<std::size_t>(RefusalReason::count);
+
 template <typename Tag, typename Number> void to_json(nlohmann::json& j, const Strong<Tag, Number>& number)
 {
     j = number.value;
 }
 template <typename Tag, typename Number> void from_json(const nlohmann::json& j, Strong<Tag, Number>& number)
 {
-    number.value = j.get<Number>();
+    number.value = numberIn<Number>(j);
 }
 
-// Encodes members as an array; `unpack` decodes them in the same order.
+// Encodes members as an array; `unpack`, below, decodes them in the same order.
 template <typename... Members> nlohmann::json pack(const Members&... members)
 {
     return nlohmann::json::array({ nlohmann::json(members)... });
 }
 
+// Reads a member. The JSON library would narrow numbers, and take any number for an enumerator.
+template <typename Member> void readMember(const nlohmann::json& j, Member& member)
+{
+    if constexpr (std::is_enum_v<Member>) {
+        static_assert(kEnumerators<Member> > 0, "the number of enumerators is not known");
+        const auto n = numberIn<std::size_t>(j);
+        if (n >= kEnumerators<Member>)
+            throw std::out_of_range("unknown enumerator");
+        member = static_cast<Member>(n);
+    } else if constexpr (std::is_arithmetic_v<Member> && !std::is_same_v<Member, bool>) {
+        member = numberIn<Member>(j);
+    } else {
+        j.get_to(member);
+    }
+}
+
+// Slots and their numbers of requests.
+inline void readMember(const nlohmann::json& j, std::vector<std::pair<std::uint32_t, std::uint32_t>>& counts)
+{
+    for (const auto& it : j)
+        counts.emplace_back(numberIn<std::uint32_t>(it.at(0)), numberIn<std::uint32_t>(it.at(1)));
+}
+
 template <typename... Members> void unpack(const nlohmann::json& j, Members&... members)
 {
     std::size_t n = 0;
-    (j.at(n++).get_to(members), ...);
+    (readMember(j.at(n++), members), ...);
 }
 
 } // namespace pistachiospur
@@ -37,7 +85,7 @@
     static void to_json(json& j, const pistachiospur::Millis& duration) { j = duration.count(); }
     static void from_json(const json& j, pistachiospur::Millis& duration)
     {
-        duration = pistachiospur::Millis(j.get<std::int64_t>());
+        duration = pistachiospur::Millis(pistachiospur::numberIn<std::int64_t>(j));
     }
 };
 
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -1,6 +1,7 @@
 #include "hub.h"
 
 #include "io/socket.h"
+#include "observe/events.h"
 
 #include <algorithm>
 #include <sys/socket.h>
@@ -197,6 +198,7 @@
 {
     auto message = decode(frame);
     if (!message) {
+        logEvent(EventKind::state, "message_refused", { { "peer", link.peer }, { "bytes", frame.size() } });
         link.close();
         return;
     }
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -1,7 +1,5 @@
 #include "codec.h"
 
-#include "io/json.h"
-
 #include <array>
 
 namespace pistachiospur {
@@ -154,7 +152,7 @@
 {
     try {
         const Json envelope = parseCbor(bytes);
-        return decodeAs(envelope.at(0).get<std::size_t>(), envelope.at(1));
+        return decodeAs(numberIn<std::size_t>(envelope.at(0)), envelope.at(1));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/tests/odd_documents_test.cpp
+++ b/tests/odd_documents_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <functional>
 
 // One document among others that no sound writer makes: each decoder must refuse it, or the part of it that it reads,
@@ -378,6 +379,50 @@
     BOOST_TEST(!decode(inArray + repeated("\x81\xa1\x61\x61", kDepth / 4) + "\x01"));
 }
 
+// Guards against numbers that are cut to the width of their member, and enumerators that there are not, which were used
+// as indexes into tables.
+BOOST_AUTO_TEST_CASE(numbersThatAMessagesMembersCannotHoldAreRefused)
+{
+    using nlohmann::json;
+    const json u64max = UINT64_MAX, negative = -1, fraction = 1.5, text = "1", infinite = INFINITY, notANumber = NAN;
+    const json refusal = json::array({ 8, 0, 0 });
+    const auto places = std::vector<std::pair<json, std::vector<std::pair<std::string, std::vector<json>>>>> {
+        { json::array({ 0, { "h", 3, true } }), // Hello
+            { { "/0", { negative, 23, u64max, fraction, text, json::array() } },
+                { "/1/1", { negative, fraction, text, nullptr, true } }, { "/1/2", { 1, "true" } } } },
+        { json::array({ 1, { 1, false, true, false, 4, 5, { { "h", 1, 2 } }, { { 7, 8 } } } }), // Heartbeat
+            { { "/1/6/0/2", { 3, negative, u64max, fraction, text } }, { "/1/5", { negative, text } } } },
+        { json::array({ 11, { 1, refusal, 3 } }), // RelayReply with a refusal
+            { { "/1/1/0", { static_cast<int>(RefusalReason::count), 255, 256, 264, u64max, negative, fraction } },
+                { "/1/1/1", { 2, negative, text } }, { "/1/1/2", { u64max, fraction, text } },
+                { "/1/2", { u64max, text } } } },
+        { json::array({ 11, { 1, { 200, json::array(), json::binary({ 1 }) }, 3 } }), // RelayReply with an answer
+            { { "/1/1/0", { 5000000000, -5000000000, fraction, text } } } },
+        { json::array({ 13, { { { { "h", "z", { "10.0.0.1", 80 }, false } }, json::array() } } }), // HostListUpdate
+            { { "/1/0/0/0/2/1", { 65536, 70000, negative, u64max, fraction, text } } } },
+        { json::array({ 14, { "s", { { 1, 2 } }, { { { "u", 1 }, 3.5 } } } }), // LoadReport
+            { { "/1/1/0/0", { 4294967296, negative, fraction, text } }, { "/1/1/0/1", { 4294967296, negative } },
+                { "/1/2/0/1", { infinite, notANumber, text } }, { "/1/1/0", { json::array({ 1 }), 5 } },
+                { "/1/1", { 5, text } } } },
+        { json::array({ 21, { 4, refusal, { 2, 2.5 }, 0 } }), // RelayTurnOver
+            { { "/1/2/0", { 3, negative, 256, 258, fraction } }, { "/1/2/1", { infinite, notANumber, text } } } },
+    };
+    const auto decoded = [](const json& message) {
+        const auto bytes = json::to_cbor(message);
+        return decode({ bytes.begin(), bytes.end() });
+    };
+    for (const auto& [valid, oddPlaces] : places) {
+        BOOST_TEST(decoded(valid).has_value(), valid);
+        for (const auto& [place, values] : oddPlaces) {
+            for (const auto& value : values) {
+                json message = valid;
+                message[json::json_pointer(place)] = value;
+                BOOST_TEST(!decoded(message).has_value(), message);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(lengthsBeyondTheMessageAreRefused)
 {
     const std::string lengths[]
