Refused entries: one line for each reason, short enough to be written

What an on-call engineer saw, in our test: nothing of an entry whose refused value is long, because a line longer than a pipe takes at once is dropped, and nothing of one with a number beyond a double, whose error had no fault; and of an entry with a short one a line at each write, which upstreams repeat every second.

describe() shows 200 bytes of each part of a fault. Directory keeps why the entries of a key cannot be read and logs a change of that only. Each refusal of an upstream's entry has a fault now.

Not shown by a run of its own: the repeated lines of a short value.

--- a/src/config/errors.cpp
+++ b/src/config/errors.cpp
@@ -4,6 +4,17 @@
 
 namespace pistachiospur {
 
+namespace {
+
+constexpr std::size_t kMaxShownBytes = 200; // of each part of a fault; a value may be as long as the store allows
+
+std::string shown(const std::string& text)
+{
+    return text.size() <= kMaxShownBytes ? text : text.substr(0, kMaxShownBytes) + "...";
+}
+
+} // namespace
+
 const char* faultName(FieldFault fault)
 {
     switch (fault) {
@@ -35,12 +46,12 @@
 
 std::string describe(const FieldError& error)
 {
-    std::string text = error.object;
+    std::string text = shown(error.object);
     if (!error.field.empty())
-        text += ": " + error.field;
+        text += ": " + shown(error.field);
     text += std::string(": ") + faultName(error.fault);
     if (!error.value.empty())
-        text += ", found " + error.value;
+        text += ", found " + shown(error.value);
     if (!error.allowed.empty())
         text += "; allowed: " + error.allowed;
     return text;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -347,8 +347,8 @@
 {
     std::vector<FieldError> faults;
     auto decoded = change.text ? decodeHostEntry(name, *change.text, change.version, faults) : std::nullopt;
+    noteRefusal("host_entry_refused", { "peer", name }, change, faults);
     if (!decoded) {
-        logRefusal("host_entry_refused", change, faults);
         const auto known = m_hosts.find(name);
         if (known != m_hosts.end() && !known->second.entryGoneSince) {
             known->second.entryGoneSince = monotonicNow();
@@ -374,20 +374,27 @@
 void Directory::applyLeader(const ServiceName& service, const KeyChange& change)
 {
     std::vector<FieldError> faults;
-    if (auto entry = change.text ? decodeLeaderEntry(*change.text, change.version, faults) : std::nullopt)
+    auto entry = change.text ? decodeLeaderEntry(*change.text, change.version, faults) : std::nullopt;
+    noteRefusal("leader_entry_refused", { "service", service }, change, faults);
+    if (entry)
         return setLeader(service, std::move(*entry));
-    logRefusal("leader_entry_refused", change, faults);
     if (m_leaders.erase(service))
         logEvent(EventKind::state, "leader_gone", { { "service", service } });
 }
 
-// Logs an entry that cannot be read; no faults: there is nothing to log.
-void Directory::logRefusal(const char* event, const KeyChange& change, const std::vector<FieldError>& faults)
+// Logs an entry that cannot be read, once for each reason; its writer may write it again every second. Without faults
+// it can be read again, or is gone.
+void Directory::noteRefusal(
+    const char* event, const EventField& subject, const KeyChange& change, const std::vector<FieldError>& faults)
 {
-    if (!faults.empty())
+    if (faults.empty()) {
+        m_refusals.erase(change.key);
+        return;
+    }
+    const std::string reason = describe(faults.front());
+    if (std::exchange(m_refusals[change.key], reason) != reason)
         logEvent(EventKind::state, event,
-            { { "key", change.key }, { "revision", textOf(change.version) }, { "reason", describe(faults.front()) },
-                { "faults", faults.size() } });
+            { subject, { "revision", textOf(change.version) }, { "reason", reason }, { "faults", faults.size() } });
 }
 
 void Directory::recordLeader(const ServiceName& service, LeaderEntry entry)
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -2,6 +2,7 @@
 
 #include "adapter.h"
 #include "lease.h"
+#include "observe/events.h"
 #include "records.h"
 #include "settings.h"
 #include "store/versions.h"
@@ -131,7 +132,8 @@
     void applyUpstreamGone(const UpstreamName&, const KeyChange&);
     void applyHost(const HostName&, const KeyChange&);
     void applyLeader(const ServiceName&, const KeyChange&);
-    void logRefusal(const char* event, const KeyChange&, const std::vector<FieldError>&);
+    void noteRefusal(
+        const char* event, const EventField& subject, const KeyChange&, const std::vector<FieldError>& faults);
     void setLeader(const ServiceName&, LeaderEntry);
     void applyTable(const KeyChange&);
     void onStoreFailure(const char* call, const StoreError&);
@@ -157,6 +159,7 @@
 
     std::optional<RoutingTable> m_routes;
     std::set<std::string> m_loggedFaults;
+    std::map<std::string, std::string> m_refusals; // why the entries of these keys cannot be read
     std::map<UpstreamName, InstanceEntry> m_instances;
     std::set<InstanceId> m_endedInstances; // proven to have ended, even if their entries still exist
     std::map<InstanceId, Millis> m_departures; // when instances first said that they leave, on the monotonic clock
--- a/src/gateway/entries.cpp
+++ b/src/gateway/entries.cpp
@@ -31,20 +31,24 @@
 void Directory::applyUpstream(const UpstreamName& name, const KeyChange& change)
 {
     std::optional<UpstreamInstance> instance;
+    std::vector<FieldError> faults;
     if (change.text) {
+        const FieldError noObject { FieldFault::wrongType, name, "", "", "a JSON object" };
         instance = leaf::try_handle_all(
             [&]() -> leaf::result<std::optional<UpstreamInstance>> {
                 BOOST_LEAF_AUTO(decoded, m_adapter.decodeUpstream(name, *change.text));
                 return std::optional(std::move(decoded));
             },
             [&](const DocumentError& error) -> std::optional<UpstreamInstance> {
-                logEvent(EventKind::state, "upstream_entry_refused",
-                    { { "upstream", name },
-                        { "reason", error.faults.empty() ? "not a JSON object" : describe(error.faults.front()) } });
+                faults = error.faults.empty() ? std::vector { noObject } : error.faults;
                 return std::nullopt;
             },
-            []() -> std::optional<UpstreamInstance> { return std::nullopt; });
+            [&]() -> std::optional<UpstreamInstance> {
+                faults = { noObject };
+                return std::nullopt;
+            });
     }
+    noteRefusal("upstream_entry_refused", { "upstream", name }, change, faults);
     if (!instance)
         return applyUpstreamGone(name, change);
     if (m_endedInstances.count(instance->id))
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -1,6 +1,8 @@
 #include "gateway_fixture.h"
 
+#include <cstdio>
 #include <set>
+#include <unistd.h>
 
 // One entry among others in the store that no sound writer makes, in a host's read of the store and in its watch: it
 // costs itself alone, and the hosts go on and follow the store.
@@ -65,6 +67,46 @@
     return entries;
 }
 
+// The lines that are logged meanwhile; standard output gets them, and the test's own, at the end.
+class LogCapture {
+public:
+    LogCapture()
+        : m_file(std::tmpfile())
+        , m_output(dup(STDOUT_FILENO))
+    {
+        std::fflush(stdout);
+        dup2(fileno(m_file), STDOUT_FILENO);
+    }
+    LogCapture(const LogCapture&) = delete;
+    LogCapture& operator=(const LogCapture&) = delete;
+    ~LogCapture()
+    {
+        dup2(m_output, STDOUT_FILENO);
+        close(m_output);
+        std::rewind(m_file);
+        for (int c = std::fgetc(m_file); c != EOF; c = std::fgetc(m_file))
+            std::putchar(c);
+        std::fclose(m_file);
+    }
+
+    std::vector<Json> linesOf(const std::string& event) const
+    {
+        std::vector<Json> lines;
+        char buf[8192];
+        std::rewind(m_file);
+        while (std::fgets(buf, sizeof buf, m_file)) {
+            const Json line = Json::parse(buf, nullptr, false);
+            if (line.is_object() && line.value("event", "") == event)
+                lines.push_back(line);
+        }
+        return lines;
+    }
+
+private:
+    std::FILE* m_file;
+    int m_output;
+};
+
 struct OddSite : Fixture {
     OddSite()
         : Fixture(0)
@@ -149,4 +191,30 @@
     BOOST_TEST(site.waitUntilServed(1));
 }
 
+// An upstream writes its entry every second, and a value may be longer than a line of the log.
+BOOST_AUTO_TEST_CASE(oddEntryIsLoggedOnceForEachReason)
+{
+    const std::string longText = '"' + std::string(100000, 'a') + '"';
+    OddSite site;
+    LogCapture log;
+    site.addHost(0);
+    unsigned version = 1;
+    const auto putAndWait = [&](const std::string& text) {
+        site.store.put("servers/odd", text);
+        site.store.put("op/config", configuration(++version, "/get/"));
+        BOOST_REQUIRE(site.areUpToDate(version));
+    };
+    BOOST_REQUIRE(site.areUpToDate(version));
+    for (int n = 0; n < 3; ++n)
+        putAndWait(upstreamEntryWith("slots", longText));
+    BOOST_TEST(log.linesOf("upstream_entry_refused").size() == 1u);
+    putAndWait(upstreamEntryWith("address", longText));
+    BOOST_TEST(log.linesOf("upstream_entry_refused").size() == 2u);
+    putAndWait(upstreamEntryWith("slots", "1e400"));
+    const auto lines = log.linesOf("upstream_entry_refused");
+    BOOST_REQUIRE(lines.size() == 3u);
+    for (const auto& it : lines)
+        BOOST_TEST(it.value("upstream", "") == "odd");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
