RECOVER: hosts that reach an upstream coordinate it for those that do not

The cause: the host that coordinates an upstream was the first of an order over hosts that can take work, and nobody asked whether that host reaches the upstream. An attempt that it could not send went back to it, five times.

Reachability is now a fact about a pair of host and upstream, learnt from the connections that a host makes anyway, confirmed by connections without a request, and reported to the other hosts by change.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -112,6 +112,7 @@
             [](const RelayTurn&) {},
             [](const RelayTurnOver&) {},
             [](const UpstreamDeparture&) {},
+            [](const ReachReport&) {},
         },
         message);
 }
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -192,6 +192,107 @@
     return firstUsable(context, rankHosts(context, name, near, hostOrder, context.directory.hosts().size()));
 }
 
+namespace {
+
+// So many hosts that have lost the same upstream, and no service, make it the upstream's failure.
+constexpr std::ptrdiff_t kLosersOfFailedUpstream = 3;
+
+bool hasFailedItself(const GatewayContext& context, const InstanceId& instance)
+{
+    const auto blamesIt
+        = [&](const ReachReport& lost) { return lost.services.empty() && lost.upstreams.count(instance) > 0; };
+    const auto losers = std::count_if(
+        context.lostByHost.begin(), context.lostByHost.end(), [&](const auto& it) { return blamesIt(it.second); });
+    return losers + (blamesIt(context.reach.lost) ? 1 : 0) >= kLosersOfFailedUpstream;
+}
+
+// Whether a host with this report reaches an upstream, or half of a group. Unknown upstreams count as reached.
+template <typename IsReached>
+bool reachesHalf(const GatewayContext& context, const ServiceName& service, const UpstreamName& upstreamOrGroup,
+    const IsReached& isReached)
+{
+    const auto groups = context.groups.find(service);
+    const auto* group = groups == context.groups.end() ? nullptr : findGroup(groups->second, upstreamOrGroup);
+    const std::vector<UpstreamName> names = group ? *group : std::vector { upstreamOrGroup };
+    const auto reached = std::count_if(names.begin(), names.end(), [&](const UpstreamName& name) {
+        const auto found = context.directory.instances().find(name);
+        return found == context.directory.instances().end() || isReached(found->second.instance);
+    });
+    return static_cast<std::size_t>(reached) * 2 >= names.size();
+}
+
+} // namespace
+
+const ReachReport& lostBy(const GatewayContext& context, const HostName& host)
+{
+    static const ReachReport nothing;
+    if (isSelf(context, host))
+        return context.reach.lost;
+    const auto found = context.lostByHost.find(host);
+    return found == context.lostByHost.end() ? nothing : found->second;
+}
+
+bool reaches(const GatewayContext& context, const HostName& host, const UpstreamInstance& upstream)
+{
+    const ReachReport& lost = lostBy(context, host);
+    return reaches(lost, upstream.service, upstream.id)
+        || (lost.services.empty() && hasFailedItself(context, upstream.id));
+}
+
+bool reaches(const GatewayContext& context, const HostName& host, const ServiceName& service,
+    const UpstreamName& upstreamOrGroup)
+{
+    return lostBy(context, host).empty()
+        || reachesHalf(
+            context, service, upstreamOrGroup, [&](const UpstreamInstance& it) { return reaches(context, host, it); });
+}
+
+bool isLostByAll(const GatewayContext& context, const ServiceName& service, const UpstreamName& upstreamOrGroup)
+{
+    const Millis now = monotonicNow();
+    const auto hasLost = [&](const HostName& host) {
+        const ReachReport& lost = lostBy(context, host);
+        return !lost.empty() && !reachesHalf(context, service, upstreamOrGroup, [&](const UpstreamInstance& it) {
+            return reaches(lost, it.service, it.id);
+        });
+    };
+    const auto& hosts = context.directory.hosts();
+    return hasLost(context.settings.host) && std::all_of(hosts.begin(), hosts.end(), [&](const auto& it) {
+        return !canTakeWork(context, it.second, now) || hasLost(it.first);
+    });
+}
+
+bool isLostByAll(const GatewayContext& context, const ServiceName& service)
+{
+    if (!context.reach.lost.services.count(service))
+        return false;
+    const Millis now = monotonicNow();
+    const auto& hosts = context.directory.hosts();
+    return std::all_of(hosts.begin(), hosts.end(), [&](const auto& it) {
+        return !canTakeWork(context, it.second, now) || lostBy(context, it.first).services.count(service);
+    });
+}
+
+std::optional<HostName> coordinatorFor(const GatewayContext& context, const ServiceName& service,
+    const UpstreamName& upstreamOrGroup, const DataCentreName& near, const std::set<HostName>& failed)
+{
+    const std::string name = absl::StrCat(service, "/", upstreamOrGroup);
+    const auto first = firstHostFor(context, name, near);
+    if (!first || (failed.empty() && reaches(context, *first, service, upstreamOrGroup)))
+        return first;
+    const Millis now = monotonicNow();
+    std::optional<HostName> firstLeft;
+    for (const auto& host : rankedHosts(context, name, near)) {
+        if (failed.count(host) || !canTakeWork(context, host, now))
+            continue;
+        if (reaches(context, host, service, upstreamOrGroup))
+            return host;
+        if (!firstLeft)
+            firstLeft = host;
+    }
+    return firstLeft ? firstLeft : first;
+}
+
 std::string groupName(unsigned group) { return absl::StrCat("#", group); }
 
 const std::vector<UpstreamName>* findGroup(const PoolGroups& groups, const std::string& name)
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory.h"
+#include "membership/reach.h"
 #include "observe/metrics.h"
 #include "peers/hub.h"
 #include "requests/pause.h"
@@ -47,6 +48,8 @@
     std::map<ServiceName, PendingRanges> pending;
     std::map<ServiceName, PoolGroups> groups;
     Pauses pauses; // of this host, and of the hosts that send requests in turns which this host gives
+    Reach reach; // of this host
+    std::map<HostName, ReachReport> lostByHost; // what other hosts report that they have lost
     std::map<HostName, Millis> unreachableUntil; // hosts that get no new work until then: link lost, or stopping
     // Orders of hosts by name, as computed for the current hosts; see hostsFor() and firstHostFor().
     struct Rankings {
@@ -82,6 +85,21 @@
 // The first host of that order; nothing if no host can take work.
 std::optional<HostName> firstHostFor(
     const GatewayContext&, const std::string& name, const DataCentreName& near, HostOrder = HostOrder::proportional);
+// What a host reports that it has lost, this host included.
+const ReachReport& lostBy(const GatewayContext&, const HostName&);
+// Whether a host connects to an upstream, as far as it has reported. An upstream that several hosts have lost which
+// have their way to others is regarded as reached by such hosts: it has failed itself, and no other host would do
+// better.
+bool reaches(const GatewayContext&, const HostName&, const UpstreamInstance&);
+// The same for an upstream or a group of a pooled service, by name; a group is reached if half of its members are.
+bool reaches(const GatewayContext&, const HostName&, const ServiceName&, const UpstreamName& upstreamOrGroup);
+// Whether every host that can take work has lost the upstream or group, or the whole service.
+bool isLostByAll(const GatewayContext&, const ServiceName&, const UpstreamName& upstreamOrGroup);
+bool isLostByAll(const GatewayContext&, const ServiceName&);
+// The host that coordinates an upstream or a group: the first of the order that reaches it and has not failed to
+// connect before, else the first that has not failed.
+std::optional<HostName> coordinatorFor(const GatewayContext&, const ServiceName&, const UpstreamName& upstreamOrGroup,
+    const DataCentreName& near, const std::set<HostName>& failed);
 // Recomputes the groups of every service from the upstreams that may take work; only pooled services use them. Called
 // when the directory changes.
 void regroupPools(GatewayContext&);
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "notices.h"
 #include "observe/events.h"
+#include "reach_monitor.h"
 
 #include <nlohmann/json.hpp>
 
@@ -46,10 +47,12 @@
     // The answer is checked against the request's id alone, so the body need not be kept for it.
     Request sent = request;
     sent.body = {};
+    const Millis connectTimeout = call.connectTimeout;
     return context.http.start(std::move(call),
-        [&context, sent = std::move(sent), id = upstream.id, startedAt, callback = std::move(callback)](
+        [&context, sent = std::move(sent), upstream, startedAt, connectTimeout, callback = std::move(callback)](
             HttpOutcome outcome) {
-            const auto& name = id.name;
+            const auto& [id, name] = std::tie(upstream.id, upstream.id.name);
+            noteContact(context, upstream, outcome, startedAt, connectTimeout);
             const auto* answer = std::get_if<HttpAnswer>(&outcome);
             RateNotice rate = answer ? context.adapter.readRate(*answer) : RateNotice {};
             const UpstreamNotice notice
@@ -246,8 +249,9 @@
         if (member.running >= entry.instance.slots || isPaused)
             continue;
         const bool isNear = entry.instance.dataCentre == origin.dataCentre;
-        const double cost
-            = upstreamCost({ member.runMs, member.running, isNear, now < member.avoidedUntil }, origin.hasLargeBody);
+        const bool isAvoided = now < member.avoidedUntil
+            || (!origin.sender.empty() && !reaches(m_context, origin.sender, entry.instance));
+        const double cost = upstreamCost({ member.runMs, member.running, isNear, isAvoided }, origin.hasLargeBody);
         if (!best || cost < minCost) {
             best = &entry;
             minCost = cost;
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -26,6 +26,8 @@
 constexpr unsigned kMaxTotalAttempts = 5;
 // A host gets no new work for this long after its link was lost or it refused work because it was stopping.
 constexpr Millis kHostAvoidTime { 1000 };
+// Retry-After while no host reaches the upstreams of a service.
+constexpr Millis kLostServiceRetryAfter { 1000 };
 // Retry-After while this host has no configuration.
 constexpr Millis kNoConfigurationRetryAfter { 500 };
 // Retry-After for a route that this version cannot read; another configuration is needed.
@@ -199,6 +201,8 @@
         const bool known = groups != m_context.groups.end() && *pending.group < groups->second.size();
         return forward(id, groupName(*pending.group), known ? groups->second[*pending.group].dataCentre : "");
     }
+    if (isLostByAll(m_context, request.service))
+        return onReply(id, attemptNumber, notRun(RefusalReason::upstreamUnreachable, kLostServiceRetryAfter));
     const StoredTable* stored = m_context.directory.tableOf(request.service);
     const Range* range = stored ? findRange(stored->table, request.slot) : nullptr;
     if (!range)
@@ -264,17 +268,27 @@
     PendingRequest& pending = *m_pending.at(id);
     const unsigned attemptNumber = pending.attempt;
     pending.state = State::forwarded;
-    const HostName coordinator = firstHostFor(m_context, pending.request.service + "/" + upstream, preferredDataCentre)
-                                     .value_or(m_context.settings.host);
+    const auto& service = pending.request.service;
+    if (isLostByAll(m_context, service, upstream))
+        return onReply(id, attemptNumber, notRun(RefusalReason::upstreamUnreachable, kLostServiceRetryAfter));
+    const HostName coordinator
+        = coordinatorFor(m_context, service, upstream, preferredDataCentre, pending.failedCoordinators)
+              .value_or(m_context.settings.host);
     pending.coordinator = coordinator;
     if (!isSelf(m_context, coordinator)) {
         const bool hasLargeBody = pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes;
-        Relay relay { relayId(id, attemptNumber), upstream, pending.request, m_context.settings.dataCentre,
-            hasLargeBody || pending.group.has_value(), hasLargeBody };
+        // A body that still arrives can only be sent by this host.
+        const bool mayRelay = !pending.rest;
+        const bool reachesUpstream
+            = !pending.mustRelay && reaches(m_context, m_context.settings.host, service, upstream);
+        const bool turnOnly = (hasLargeBody || pending.group) && (reachesUpstream || !mayRelay);
+        Relay relay { relayId(id, attemptNumber), upstream, pending.request, m_context.settings.dataCentre, turnOnly,
+            hasLargeBody };
         relay.request.deadline -= monotonicNow();
         if (relay.turnOnly)
             relay.request.body = {};
-        const auto link = m_context.hub.send(coordinator, relay);
+        const Lane lane = hasLargeBody && !relay.turnOnly ? Lane::bulk : Lane::control;
+        const auto link = m_context.hub.send(coordinator, relay, lane);
         if (!link)
             return onReply(id, attemptNumber, notRun(RefusalReason::hostUnreachable));
         pending.link = *link;
@@ -282,8 +296,7 @@
         return;
     }
     const auto job = m_dispatcher.submit(upstream, pending.request,
-        [this, id, attemptNumber, upstream, service = pending.request.service, order = pending.request.order](
-            Reply reply) {
+        [this, id, attemptNumber, upstream, service, order = pending.request.order](Reply reply) {
             const Millis wait = m_dispatcher.expectedWait(service, upstream, order);
             onReply(id, attemptNumber, std::move(reply), wait);
         },
@@ -385,9 +398,11 @@
     PendingRequest& pending = *it->second;
     pending.link = kNoLink;
     pending.job = 0;
-    pending.coordinator.clear();
     recordGroupLoad(pending, reply, wait);
     const auto* refusal = std::get_if<Refusal>(&reply);
+    if (refusal && refusal->reason == RefusalReason::upstreamUnreachable)
+        noteFailedConnection(pending);
+    pending.coordinator.clear();
     if (!refusal)
         return complete(id, std::move(reply));
     pending.state = State::delayed;
@@ -396,16 +411,7 @@
         ++pending.possibleRuns;
     if (approveRetry(pending, *refusal)) {
         m_context.metrics.count("pistachiospur_retries_total", { { "reason", factsOf(refusal->reason).name } });
-        const bool ownerChanged
-            = refusal->reason == RefusalReason::upstreamNotOwner || refusal->reason == RefusalReason::upstreamReplaced;
-        const bool noConnection = refusal->reason == RefusalReason::upstreamUnreachable;
-        // Hosts learn of a range's move one after the other. After the second refusal, the delay gives the remaining
-        // hosts time to learn of it.
-        const bool tablesDiffer = refusal->reason == RefusalReason::notCoordinator && pending.refusedAttempts > 1;
-        return scheduleAttempt(id,
-            ownerChanged || tablesDiffer ? kOwnerChangeDelay
-                : noConnection           ? kConnectRetryDelay
-                                         : Millis(0));
+        return scheduleAttempt(id, retryDelay(pending, *refusal));
     }
     // If any attempt may have run the request, the final refusal must not state that it did not run.
     if (pending.possibleRuns > 0)
@@ -413,6 +419,43 @@
     complete(id, std::move(reply));
 }
 
+// The host that sent the request to the upstream could not connect to it. The next attempt goes another way.
+void GatewayFrontend::noteFailedConnection(PendingRequest& pending)
+{
+    if (pending.state == State::sending)
+        pending.mustRelay = true;
+    else if (!pending.coordinator.empty())
+        pending.failedCoordinators.insert(pending.coordinator);
+}
+
+Millis GatewayFrontend::retryDelay(const PendingRequest& pending, const Refusal& refusal) const
+{
+    switch (refusal.reason) {
+    case RefusalReason::upstreamNotOwner:
+    case RefusalReason::upstreamReplaced:
+        return kOwnerChangeDelay;
+    case RefusalReason::notCoordinator:
+        // Hosts learn of a range's move one after the other. After the second refusal, the delay gives the remaining
+        // hosts time to learn of it.
+        return pending.refusedAttempts > 1 ? kOwnerChangeDelay : Millis(0);
+    case RefusalReason::upstreamUnreachable:
+        // If the first host has lost its way to the upstream, the second one has not; if the upstream is down, it needs
+        // time.
+        return pending.refusedAttempts > 1 ? kConnectRetryDelay : Millis(0);
+    default:
+        return Millis(0);
+    }
+}
+
+// Whether another group of the pooled service may serve a request that one has refused.
+bool GatewayFrontend::mayTryAnotherGroup(const PendingRequest& pending) const
+{
+    const ServiceName& service = pending.request.service;
+    const auto groups = m_context.groups.find(service);
+    return pending.refusedAttempts < 2 && !isKeyed(service) && groups != m_context.groups.end()
+        && groups->second.size() > 1;
+}
+
 // Decides whether a refused request gets another attempt, and spends a retry from the service's retry window budget if
 // one is needed. A request that may have run is retried only if it is idempotent.
 bool GatewayFrontend::approveRetry(PendingRequest& pending, const Refusal& refusal)
@@ -433,8 +476,10 @@
     case RefusalReason::hostUnreachable:
     case RefusalReason::notCoordinator:
     case RefusalReason::stopping:
-    case RefusalReason::upstreamUnreachable:
         return true;
+    case RefusalReason::upstreamUnreachable:
+        // With a time to come back, no host reaches the upstream or group.
+        return refusal.retryAfter == Millis(0) || mayTryAnotherGroup(pending);
     case RefusalReason::upstreamNotOwner:
     case RefusalReason::upstreamReplaced:
     case RefusalReason::upstreamShed:
@@ -442,12 +487,8 @@
             && spendRetry(m_retryWindowBudgets[request.service], retryWindowPolicy(), now);
     case RefusalReason::memoryFull:
     case RefusalReason::upstreamPaused:
-    case RefusalReason::queueFull: {
-        // Another group may have a free place in its queue.
-        const auto groups = m_context.groups.find(request.service);
-        return pending.refusedAttempts < 2 && !isKeyed(request.service) && groups != m_context.groups.end()
-            && groups->second.size() > 1;
-    }
+    case RefusalReason::queueFull:
+        return mayTryAnotherGroup(pending);
     default:
         return false;
     }
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -65,6 +65,8 @@
         LinkId link = 0; // that the request was sent on; 0 if on none
         std::optional<unsigned> group; // of the pooled service that the current attempt goes to
         std::set<unsigned> refusedGroups;
+        std::set<HostName> failedCoordinators; // could not connect to the upstream
+        bool mustRelay = false; // this host could not connect to the upstream, so that another one sends the request
         std::shared_ptr<BodyPipe> rest; // of a body that flows; null if the request has its whole body
         std::optional<std::uint64_t> bodyBytes; // size of a body that flows, if the caller declared it
         HttpClient::CallId call = 0; // while sending
@@ -85,6 +87,9 @@
     void endTurn(const HostName& coordinator, std::uint64_t relay, const Reply&, const RateNotice&, Millis pause);
     void waitForRange(RequestId, Millis readyIn);
     void onReply(RequestId, unsigned attempt, Reply, Millis wait = Millis(0));
+    void noteFailedConnection(PendingRequest&);
+    Millis retryDelay(const PendingRequest&, const Refusal&) const;
+    bool mayTryAnotherGroup(const PendingRequest&) const;
     bool approveRetry(PendingRequest&, const Refusal&);
     void scheduleAttempt(RequestId, Millis delay);
     void onDeadline(RequestId);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -51,6 +51,7 @@
     : m_settingsPath(std::move(settingsPath))
     , m_context(settings, adapter, peerHandlers())
     , m_watcher(m_context)
+    , m_reachMonitor(m_context)
     , m_dispatcher(m_context)
     , m_frontend(m_context, m_dispatcher)
     , m_callerServer(
@@ -139,6 +140,7 @@
 {
     m_context.directory.tick();
     m_watcher.tick();
+    m_reachMonitor.tick();
     for (auto& [name, leader] : m_leaders)
         leader->tick();
     if (std::exchange(m_context.rangesChanged, false)) {
@@ -161,7 +163,12 @@
 {
     std::visit(
         Overloaded {
-            [&](const Hello&) { m_context.unreachableUntil.erase(from); },
+            [&](const Hello& received) {
+                m_context.unreachableUntil.erase(from);
+                if (!received.isBulk)
+                    m_reachMonitor.onLinkOpened(from);
+            },
+            [&](ReachReport& received) { m_reachMonitor.onReport(from, std::move(received)); },
             [&](Relay& received) { onRelay(from, link, std::move(received)); },
             [&](RelayReply& received) { m_frontend.onRelayReply(from, std::move(received)); },
             [&](const RelayCancel& received) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "frontend.h"
 #include "leader.h"
+#include "reach_monitor.h"
 #include "watcher.h"
 
 #include <map>
@@ -56,6 +57,7 @@
     std::string m_settingsPath;
     GatewayContext m_context;
     StoreWatcher m_watcher;
+    ReachMonitor m_reachMonitor;
     Dispatcher m_dispatcher;
     GatewayFrontend m_frontend;
     std::map<ServiceName, std::unique_ptr<RangeLeader>> m_leaders; // candidates included: one for each keyed service
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -1,5 +1,6 @@
 #include "leader.h"
 #include "notices.h"
+#include "reach_monitor.h"
 
 #include "observe/events.h"
 
@@ -149,9 +150,13 @@
 {
     previousOwner.releasing = true;
     const ReleaseOrder order { range.first, range.last, range.fence, orderText(m_nextOrder++) };
-    m_context.http.start(m_context.adapter.releaseCall(upstream, order),
-        [this, key = keyOf(range), instance, asked = upstream.id, id = order.id](const HttpOutcome& outcome) {
-            takeOrderNotice(m_context, asked, outcome, id);
+    HttpCall call = m_context.adapter.releaseCall(upstream, order);
+    const Millis timeout = call.timeout;
+    m_context.http.start(std::move(call),
+        [this, key = keyOf(range), instance, upstream, id = order.id, timeout, begunAt = monotonicNow()](
+            const HttpOutcome& outcome) {
+            noteContact(m_context, upstream, outcome, begunAt, timeout);
+            takeOrderNotice(m_context, upstream.id, outcome, id);
             onRelease(key, instance, m_context.adapter.interpretRelease(outcome, id));
         });
 }
@@ -190,10 +195,12 @@
     // A reused connection may be dead after a failure. With a new one, a failure to connect proves that the grant did
     // not arrive.
     call.freshConnection = state.lastGrantFailed;
-    m_context.http.start(std::move(call), [this, range, sent](const HttpOutcome& outcome) {
-        takeOrderNotice(m_context, range.owner, outcome, orderText(sent.order));
-        onGrant(range, sent, m_context.adapter.interpretGrant(outcome, orderText(sent.order)));
-    });
+    m_context.http.start(
+        std::move(call), [this, range, sent, upstream, begunAt = monotonicNow()](const HttpOutcome& outcome) {
+            noteContact(m_context, upstream, outcome, begunAt, Millis(m_context.settings.limits.orderTimeoutMs));
+            takeOrderNotice(m_context, range.owner, outcome, orderText(sent.order));
+            onGrant(range, sent, m_context.adapter.interpretGrant(outcome, orderText(sent.order)));
+        });
 }
 
 void RangeLeader::onGrant(const Range& range, const SentGrant& sent, OrderVerdict verdict)
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -233,6 +233,8 @@
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     if (request.method == "HEAD")
         curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    if (request.connectOnly)
+        curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
     if (request.resetOnAbort)
         curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, Internals::resetOnClose);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
@@ -359,6 +361,10 @@
         transfer->callback(HttpFailure { classifyFailure(easy, code, transfer->tooLarge) });
         return;
     }
+    if (transfer->call.connectOnly) {
+        transfer->callback(HttpAnswer {});
+        return;
+    }
     if (transfer->tooLarge) {
         transfer->callback(HttpFailure { HttpFault::tooLarge });
         return;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -32,6 +32,8 @@
     // Opens a new connection for this call. libcurl silently resends a request if a reused connection breaks before the
     // first byte of the answer, so a request that must not run twice has to set this.
     bool freshConnection = false;
+    // Makes a connection and closes it, without a request. The answer is then empty and has status 0.
+    bool connectOnly = false;
     // Resets the connection (TCP RST) when the call is aborted, so that bytes delayed by a network partition are not
     // delivered later.
     bool resetOnAbort = false;
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -99,6 +99,7 @@
 PISTACHIOSPUR_WIRE(InstanceId, std::tie(it.name, it.startTime))
 PISTACHIOSPUR_WIRE(RelayTurn, std::tie(it.id, it.instance, it.wait))
 PISTACHIOSPUR_WIRE(UpstreamDeparture, std::tie(it.instance))
+PISTACHIOSPUR_WIRE(ReachReport, std::tie(it.services, it.upstreams))
 PISTACHIOSPUR_WIRE(RateNotice, std::tie(it.kind, it.perSecond))
 PISTACHIOSPUR_WIRE(RelayTurnOver, std::tie(it.id, it.reply, it.rate, it.pause))
 PISTACHIOSPUR_WIRE(LoadReport::Run, std::tie(it.instance, it.runMs))
@@ -131,11 +132,11 @@
 
 const char* messageKind(std::size_t index)
 {
-    static constexpr std::array<const char*, std::variant_size_v<Message>> kNames
-        = { "hello", "heartbeat", "replica_request", "replica_batch", "replica_snapshot", "upstream_report",
-              "stop_renewing", "renewal_stopped", "release_query", "release_report", "relay", "relay_reply",
-              "relay_cancel", "host_list_update", "load_report", "range_update", "host_leaving", "leader_announcement",
-              "leader_stepped_down", "watch_update", "relay_turn", "relay_turn_over", "upstream_departure" };
+    static constexpr std::array<const char*, std::variant_size_v<Message>> kNames = { "hello", "heartbeat",
+        "replica_request", "replica_batch", "replica_snapshot", "upstream_report", "stop_renewing", "renewal_stopped",
+        "release_query", "release_report", "relay", "relay_reply", "relay_cancel", "host_list_update", "load_report",
+        "range_update", "host_leaving", "leader_announcement", "leader_stepped_down", "watch_update", "relay_turn",
+        "relay_turn_over", "upstream_departure", "reach_report" };
     return kNames.at(index);
 }
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/members.h"
+#include "membership/reach.h"
 #include "ownership/release.h"
 #include "pistachiospur/request.h"
 #include "ranges/table.h"
@@ -194,7 +195,7 @@
 using Message = std::variant<Hello, Heartbeat, ReplicaRequest, ReplicaBatch, ReplicaSnapshot, UpstreamReport,
     StopRenewing, RenewalStopped, ReleaseQuery, ReleaseReport, Relay, RelayReply, RelayCancel, HostListUpdate,
     LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate, RelayTurn, RelayTurnOver,
-    UpstreamDeparture>;
+    UpstreamDeparture, ReachReport>;
 
 // The name of a kind of message, by its index in Message, for metrics.
 const char* messageKind(std::size_t index);
