RECOVER: a range leader that has lost its service gives way to one that has not

Slots had no owner while the range leader was among the hosts that are cut off from the upstreams: where kept connections lived on while new ones were refused, it went on leading, and in 3.7 s of the recorded incident it moved 107 ranges, none of which could be released; where connections hung, its successors were cut off as well and followed one another.

The cause: a leader stepped down only after failures to connect at more than half of the upstreams, which renewals over kept connections never give, and candidates were ordered without a look at what they reach. A leader now steps down once its host has lost the service while another host has not, hosts that have lost it stand for election last, and a leader that may be cut off plans no moves.

--- a/src/gateway/election.cpp
+++ b/src/gateway/election.cpp
@@ -85,7 +85,10 @@
 {
     if (replacesOwnRecord)
         return Millis(0);
-    const auto order = hostsFor(m_context, "keeper/" + m_service, "", HostOrder::fastestFirst);
+    auto order = hostsFor(m_context, "keeper/" + m_service, "", HostOrder::fastestFirst);
+    // A leader that reaches no upstream cannot renew their grants.
+    std::stable_partition(order.begin(), order.end(),
+        [&](const HostName& host) { return !lostBy(m_context, host).services.count(m_service); });
     return kElectionStep * (std::find(order.begin(), order.end(), m_context.settings.host) - order.begin());
 }
 
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -386,6 +386,9 @@
         return writeFirstTable();
     if (m_carriesOver && !isRewriteDue())
         return;
+    // A host that is cut off would move ranges away from upstreams that are well, and its successor wait for them.
+    if (mayHaveLost(m_context.reach, m_service))
+        return;
     bool changed = false;
     auto ranges = nextRanges(changed);
     if (changed)
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -307,10 +307,14 @@
     }
 }
 
-// A leader that cannot reach more than half of the service's upstreams, and at least two, is assumed to be cut off
-// itself.
+// A leader is cut off itself if it has lost the service, or cannot reach more than half of the service's upstreams, and
+// at least two.
 void RangeLeader::stepDownIfCutOff()
 {
+    if (m_context.reach.lost.services.count(m_service) > 0 && !isLostByAll(m_context, m_service)) {
+        m_ineligibleUntil = monotonicNow() + kCutOffPause;
+        return stepDown("this host has lost its way to the upstreams");
+    }
     std::size_t total = 0, unreachable = 0;
     for (const auto& [name, entry] : m_context.directory.instances()) {
         if (entry.instance.service != m_service || entry.entryGone)
