Balance: an upstream that does not answer gets no slots of others

While one upstream hung, the range leader moved a healthy upstream's range to it, after its first failed grants and before it counted as unreachable. Nobody served those slots for 2 to 3 s.

The cause: every upstream that may keep its slots could also receive some. Upstreams whose last grant failed, or that a host reports as lost, now receive none as long as another may.

Property movesGoOnlyToOwnersThatMayReceive.

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -271,13 +271,24 @@
 {
     std::vector<OwnerCapacity> found;
     const Millis now = monotonicNow();
+    // Upstreams that have not answered a grant, or that a host cannot connect to, may not accept the grant of a move.
+    std::set<InstanceId> failing;
+    for (const auto& it : m_table.ranges) {
+        const auto state = m_rangeStates.find(keyOf(it));
+        if (state != m_rangeStates.end() && state->second.lastGrantFailed)
+            failing.insert(it.owner);
+    }
+    for (const auto& [host, lost] : m_context.lostByHost)
+        failing.insert(lost.upstreams.begin(), lost.upstreams.end());
     for (const auto& [name, entry] : m_context.directory.instances()) {
         if (entry.instance.service != m_service || !mayTakeWork(entry, now) || entry.instance.draining
             || isUnreachable(entry.instance.id))
             continue;
         const auto it = m_runMs.find(entry.instance.id);
         const double runMs = it == m_runMs.end() ? kDefaultRunMs : it->second;
-        found.push_back({ entry.instance.id, entry.instance.slots * 1000.0 / runMs });
+        const bool mayReceive
+            = !failing.count(entry.instance.id) && !isFailing(m_context.reach, m_service, entry.instance.id);
+        found.push_back({ entry.instance.id, entry.instance.slots * 1000.0 / runMs, mayReceive });
     }
     return found;
 }
--- a/src/ranges/balance.cpp
+++ b/src/ranges/balance.cpp
@@ -82,6 +82,12 @@
     return std::tuple(a.utilization(), a.owner.id) < std::tuple(b.utilization(), b.owner.id);
 }
 
+// Order by suitability as the target of a move: those that may receive slots come first, the least utilized before.
+bool isBetterTarget(const OwnerLoad& a, const OwnerLoad& b)
+{
+    return a.owner.mayReceive != b.owner.mayReceive ? a.owner.mayReceive : isLessUtilized(a, b);
+}
+
 // Order by suitability as the source of a move: more utilized owners are better; those that cannot give are the worst.
 bool isWorseSource(const OwnerLoad& a, const OwnerLoad& b)
 {
@@ -100,7 +106,7 @@
 
 void assignToLeastUtilized(OwnerLoads& all, std::vector<Move>& moves, const SlotLoads& loads, SlotId first, SlotId last)
 {
-    auto& target = *std::min_element(all.begin(), all.end(), isLessUtilized);
+    auto& target = *std::min_element(all.begin(), all.end(), isBetterTarget);
     target.load += loadBetween(loads, first, last);
     moves.push_back({ first, last, target.owner.id });
 }
@@ -180,7 +186,9 @@
     const std::size_t maxMoves = moves.size() + policy.maxMoves;
     while (moves.size() < maxMoves && triesLeft-- > 0) {
         auto& source = *std::max_element(all.begin(), all.end(), isWorseSource);
-        auto& target = *std::min_element(all.begin(), all.end(), isLessUtilized);
+        auto& target = *std::min_element(all.begin(), all.end(), isBetterTarget);
+        if (!target.owner.mayReceive)
+            return;
         const bool targetIsIdle = target.load <= 0;
         if (!targetIsIdle && source.utilization() < policy.minSourceUtilization)
             return;
@@ -230,7 +238,7 @@
         if (!left || !right || changed.count(n - 1) || changed.count(n) || changed.count(n + 1))
             continue;
         OwnerLoad& newOwner = left->utilization() <= right->utilization() ? *left : *right;
-        if (newOwner.owner.id == ranges[n].owner
+        if (newOwner.owner.id == ranges[n].owner || !newOwner.owner.mayReceive
             || newOwner.utilization() + load / newOwner.owner.capacity > kMaxUtilizationAfterJoin)
             continue;
         newOwner.load += load;
--- a/src/ranges/balance.h
+++ b/src/ranges/balance.h
@@ -17,6 +17,7 @@
 struct OwnerCapacity {
     InstanceId id;
     double capacity = 1; // requests per second that it can run
+    bool mayReceive = true; // may get further slots; if no owner may, ranges that need a new one go to any
 };
 
 // A run of slots that gets a new owner.
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -270,4 +270,25 @@
     BOOST_TEST(ledger.records.empty());
 }
 
+// Guards against slots that move to an upstream which does not answer, as long as another one does.
+RC_BOOST_PROP(movesGoOnlyToOwnersThatMayReceive, ())
+{
+    const int n = *rc::gen::inRange(2, 12);
+    const auto ranges = randomRanges(n);
+    auto owners = ownersUpTo(n);
+    owners.erase(owners.begin() + *rc::gen::inRange(0, n)); // its ranges need a new owner
+    for (auto& it : owners)
+        it.mayReceive = *rc::gen::inRange(0, 2) == 1;
+    owners.front().mayReceive = true;
+    SlotLoads loads;
+    for (int it = 0; it < 20; ++it)
+        loads[*rc::gen::inRange(0u, kKeySlots)] = *rc::gen::inRange(1, 10);
+    for (const auto& move : planMoves(ranges, owners, loads, {}, {})) {
+        const auto target
+            = std::find_if(owners.begin(), owners.end(), [&](const auto& it) { return it.id == move.to; });
+        RC_ASSERT(target != owners.end());
+        RC_ASSERT(target->mayReceive);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
