Orders: the kernel drops what it cannot deliver in time, also while the process is stopped

An order to an upstream counts as unable to arrive once its connection was reset, after order_timeout_ms. The reset came from the process: a host that is stopped (frozen, or its loop stalls) while its way to the upstream is cut left the order in the kernel's queue, which went on sending it. A grant could thus arrive seconds after its successor had waited for it, at an upstream that had never seen the successor's fence: two holders.

Connections of orders now have a TCP_USER_TIMEOUT of the order's time-out, so the kernel discards the bytes by itself.

Evidence: kernelDropsAnOrderThatItCannotDeliverInTime reads the option from the connection (0 ms before, 400 now). That the kernel does discard the bytes is its documented behaviour and not tested here.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <utility>
@@ -150,11 +152,15 @@
         return 0;
     }
 
-    // With a linger time of zero, close() sends a TCP reset and discards unsent data.
-    static int resetOnClose(void*, curl_socket_t fd, curlsocktype)
+    // With a linger time of zero, close() sends a TCP reset and discards unsent data. The user time-out lets the kernel
+    // discard them also while this process is stopped.
+    static int resetOnClose(void* userData, curl_socket_t fd, curlsocktype)
     {
+        const auto& transfer = *static_cast<Transfer*>(userData);
         const linger noLinger { 1, 0 };
+        const auto userTimeoutMs = static_cast<unsigned>(transfer.call.timeout.count());
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
         return CURL_SOCKOPT_OK;
     }
 
@@ -235,8 +241,10 @@
         curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
     if (request.connectOnly)
         curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
-    if (request.resetOnAbort)
+    if (request.resetOnAbort) {
         curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, Internals::resetOnClose);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
+    }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     if (request.rest) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -34,8 +34,9 @@
     bool freshConnection = false;
     // Makes a connection and closes it, without a request. The answer is then empty and has status 0.
     bool connectOnly = false;
-    // Resets the connection (TCP RST) when the call is aborted, so that bytes delayed by a network partition are not
-    // delivered later.
+    // Resets the connection (TCP RST) when the call is aborted, and lets the kernel drop it once bytes have not been
+    // acknowledged for `timeout` of the call that opened it (TCP_USER_TIMEOUT), so that bytes delayed by a network
+    // partition are not delivered later.
     bool resetOnAbort = false;
     // Name, in lower case, and value of a header that the server repeats in its answer. An answer with another value
     // belongs to another call: this one fails as broken, and its connection, on which the answers no longer match the
--- a/tests/order_answers_test.cpp
+++ b/tests/order_answers_test.cpp
@@ -4,6 +4,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 // Upstreams that answer orders wrongly, as the sender of the orders sees them. Real sockets.
 using namespace pistachiospur;
 using namespace pistachiospur::standin;
@@ -31,6 +35,25 @@
     }
 };
 
+// The user time-outs, in ms, of this process's connections to a port.
+std::vector<unsigned> userTimeoutsTo(std::uint16_t port)
+{
+    constexpr int kMaxDescriptor = 1024;
+    std::vector<unsigned> timeouts;
+    for (int fd = 0; fd < kMaxDescriptor; ++fd) {
+        sockaddr_in peer {};
+        socklen_t bytes = sizeof peer;
+        if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &bytes) != 0 || peer.sin_family != AF_INET
+            || ntohs(peer.sin_port) != port)
+            continue;
+        unsigned timeout = 0;
+        bytes = sizeof timeout;
+        if (getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &bytes) == 0)
+            timeouts.push_back(timeout);
+    }
+    return timeouts;
+}
+
 bool provesNotApplied(OrderVerdict verdict)
 {
     return verdict != OrderVerdict::done && verdict != OrderVerdict::unanswered;
@@ -87,4 +110,25 @@
     }
 }
 
+// Guards against a grant that arrives after its time: the process that sent it was stopped while the link was cut, and
+// the kernel went on sending.
+BOOST_AUTO_TEST_CASE(kernelDropsAnOrderThatItCannotDeliverInTime)
+{
+    OrderSender sender([](const RawRequest& request) -> std::vector<RawPart> {
+        return { { sealedAnswer(request.id, "{}"), RawEnding::keepOpen, Millis(100) } };
+    });
+    HttpCall call = platform::grantCall({ { "k0", { 1000 } }, "keyed", sender.upstream.endpoint(), "z1", 2, false, {} },
+        { { 0 }, { 65535 }, { 3 }, Millis(2500), "", "a" });
+    call.timeout = Millis(400);
+    bool hasEnded = false;
+    sender.client.start(std::move(call), [&](const HttpOutcome&) { hasEnded = true; });
+    std::vector<unsigned> timeouts;
+    RawSite::runLoopUntil([&] {
+        timeouts = userTimeoutsTo(sender.upstream.endpoint().port);
+        return hasEnded || !timeouts.empty();
+    });
+    BOOST_TEST(timeouts == std::vector<unsigned> { 400 }, boost::test_tools::per_element());
+    RawSite::runLoopUntil([&] { return hasEnded; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
