Range leader: a stop that is known from a later era proves nothing in an earlier one

The store comes back from an older copy; the leader of the earlier era claims its office again, keeps its table, and then gives way, for example because it is cut off from the upstreams. A second leader, elected unheard just before the return and not yet told of it, hears that the first has stopped and completes a move of its own; the first is elected again and grants by its table: two holders.

The cause is again a fact about one moment used for another: that the first leader has stopped by now says nothing of the table that it wrote in the new era. A host that knows of a later era than an announcement's no longer confirms that it stopped, and an entry of a later era than the leader's own does not show that a predecessor's process has ended. Such a leader then waits for the predecessor's whole right, which outlasts its own.

No test over sockets.

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -112,7 +112,8 @@
 
 // Whether the process that wrote a table is known to have ended: its host's entry is from another process, and is newer
 // than the table. Writer names begin with "HOST#INCARNATION". This host's own earlier leadership has always ended, so
-// its own name counts as well.
+// its own name counts as well. What is known of a later era than this host leads in says nothing: the writer may have
+// led in that era, and then its table holds there.
 bool RangeLeader::hasWriterEnded(const std::string& writer) const
 {
     const auto separator = writer.find('#');
@@ -124,7 +125,7 @@
         return true;
     const auto found = m_context.directory.hosts().find(host);
     return found != m_context.directory.hosts().end() && found->second.incarnation.value != incarnation
-        && found->second.version > m_loadedRevision;
+        && found->second.version > m_loadedRevision && eraOf(found->second.version) <= eraOf(m_recordRevision);
 }
 
 // Until when grants of previous leaders may be valid. A previous leader that has not confirmed that it stopped is
@@ -222,7 +223,11 @@
         stepDown("another host was elected later");
     if (m_isLeader)
         return announcement();
-    return LeaderSteppedDown { m_service, m_context.incarnation, received.revision };
+    // A leader of an earlier era must not act on the end of one that may have led since: the revision of the reply
+    // names no election of its.
+    const bool isOfPresentEra = eraOf(received.revision) == m_context.directory.storeEra();
+    return LeaderSteppedDown { m_service, m_context.incarnation,
+        isOfPresentEra ? received.revision : StoreRevision {} };
 }
 
 void RangeLeader::onLeaderSteppedDown(const HostName& from, const LeaderSteppedDown& stopped)
