Model: upstreams start again under their name, and what an accepted grant proves

What callers could see: one key served by two upstreams (OWNER). The model of who may hold a range had no upstream that starts again under its name. Such a start forgets the grants and the fencing tokens seen, and nobody is told.

New rule: an accepted grant rules out grants of earlier leaders only if it was sent after these had stopped and the longest delay of an order had passed. Otherwise a move waits until they have expired. Why it works: what could still arrive when the grant was sent had arrived before, at a process whose connections end with it.

An order's connection belongs to one process: orders that have arrived vanish with it, one that is still on its way reaches the next process. Restarts are not bounded in number. To keep the search small, an upstream forgets a token once no order can bear a lower one (not with KEEP_FENCES nor NO_FENCE_ERA). A leader may drop a cleared previous owner without a confirmation of its own; that only adds behaviours.

The code does not follow the rule yet.

--- a/models/ranges.pml
+++ b/models/ranges.pml
@@ -8,6 +8,10 @@
  * goes on renewing for OUTAGE ticks after its lease has ended, whether or not the store can be reached. Host 0 leads
  * first and host 1 takes over; only orders of host 0 lose their answers.
  *
+ * An upstream may start again under its name at any time: it forgets its grants and the fencing tokens that it has
+ * seen, and nobody is told. Thus an accepted grant rules out grants of earlier leaders only if it was sent when these
+ * had stopped and none of their orders could arrive any more.
+ *
  * Once, the store may come back from an older copy, in a new era. The copy's leader record and table do not count,
  * since they name an earlier era, and revisions are given out again. Nobody is told: a leader of the earlier era
  * renews grants until the end of its right. Until then it may claim again and carries over: it goes on under its
@@ -17,16 +21,33 @@
  * other new leader that finds no table of its era regards each upstream as a possible holder (anyPrevious), names it
  * so in its table, and waits until all grants of leaders of the earlier era have expired.
  *
- * All times are those that are left, so that the search is not bounded in time.
+ * All times are those that are left, so that the search is not bounded in time. With LONG_GRANTS and FEW_WRITES
+ * a grant lasts longer than an order takes, and the hosts lead in any order; with the first, the store does not come
+ * back from a copy.
  *
  * docs/PROOFS.md maps each transition to the code. Each macro NO_... removes one guard; scripts/check-models shows that
  * spin then finds two upstreams that hold the range at once.
  */
-#define HOLD 1 /* TTL of a grant */
+#if defined(LONG_GRANTS) || defined(FEW_WRITES)
+#define HOLD 2 /* TTL of a grant */
+#define mayLead(k) true
+#else
+#define HOLD 1
+#define mayLead(k) (era == 1 || (writes == 0 -> k == 0 : k == 1))
+#endif
 #define ORDER 1
 #define LEASE 1 /* TTL of a leader's lease */
 #define OUTAGE 1
-#define LAST_WRITE 4 /* of each era */
+#ifdef FEW_WRITES
+#define LAST_WRITE 2 /* of each era */
+#else
+#define LAST_WRITE 4
+#endif
+#ifdef LONG_GRANTS
+#define RETURN false /* of the store from an older copy */
+#else
+#define RETURN true
+#endif
 #define NOBODY 2
 
 /* The store. */
@@ -63,7 +84,6 @@
 byte viewFence[2];
 bool cleared[2];
 bool released[2];
-bool hasEarlierGrants[2]; /* grants of the previous leader may still be valid */
 byte earlierLeft[2]; /* until grants of earlier leaders have expired */
 byte unknownLeft[2]; /* until grants have expired that no table of this era names */
 byte answeredLeft[4]; /* by host * 2 + upstream: until the host's answered grants have expired */
@@ -83,6 +103,7 @@
 byte ttlLeft[2]; /* of one that has arrived */
 bit grantTo[2];
 byte grantFence[2];
+bool sentAfterStop[2]; /* when no earlier leader could send an order any more and none of theirs could arrive */
 byte lateTtlLeft; /* only host 0 loses answers; 0: no late grant */
 bit lateTo;
 byte lateFence;
@@ -101,7 +122,15 @@
 #ifdef NO_PREDECESSOR
 #define earlierGrantsExpired(k) true
 #else
-#define earlierGrantsExpired(k) (!hasEarlierGrants[k] || earlierLeft[k] == 0)
+#define earlierGrantsExpired(k) (earlierLeft[k] == 0)
+#endif
+/* Whether an accepted grant that is sent now rules out grants of earlier leaders. */
+#ifdef NO_STOP_BEFORE_PROOF
+#define isEnoughAfterStop(k) true
+#elif defined(NO_ORDER_AFTER_STOP)
+#define isEnoughAfterStop(k) (earlierLeft[k] <= ORDER + HOLD)
+#else
+#define isEnoughAfterStop(k) (earlierLeft[k] < HOLD)
 #endif
 #ifdef NO_UNANSWERED
 #define unansweredExpired(k, u) true
@@ -209,6 +238,7 @@
 inline forgetGrant(k)
 {
     grantState[k] = 0; orderLeft[k] = 0; ttlLeft[k] = 0; grantTo[k] = 0; grantFence[k] = 0;
+    sentAfterStop[k] = false;
     if :: k == 0 -> grantSentIn = 0 :: else fi
 }
 
@@ -221,8 +251,8 @@
 inline forgetView(k)
 {
     claimEra[k] = 0; rightLeft[k] = 0; viewWrites[k] = 0; viewOwner[k] = 0; viewPrevious[k] = false;
-    viewAny[k] = false; viewFence[k] = 0; cleared[k] = false; released[k] = false; hasEarlierGrants[k] = false;
-    earlierLeft[k] = 0; unknownLeft[k] = 0; carriesOver[k] = no; forgetLedger(k);
+    viewAny[k] = false; viewFence[k] = 0; cleared[k] = false; released[k] = false; earlierLeft[k] = 0;
+    unknownLeft[k] = 0; carriesOver[k] = no; forgetLedger(k);
     if :: k == 0 -> isProven = false; grantSentIn = 0 :: else fi;
     if :: lastLeader == k -> lastLeader = NOBODY :: else fi
 }
@@ -262,8 +292,7 @@
     previous = previous && tableCounts;
     anyPrevious = viewAny[k] && namesAny;
     unknownLeft[k] = (tableCounts -> inheritedUnknown : ANY_WAIT);
-    hasEarlierGrants[k] = tableCounts && writer != NOBODY;
-    earlierLeft[k] = (!hasEarlierGrants[k] -> 0 : (writer == k -> ORDER + HOLD : OUTAGE + ORDER + HOLD));
+    earlierLeft[k] = (!tableCounts || writer == NOBODY -> 0 : (writer == k -> ORDER + HOLD : OUTAGE + ORDER + HOLD));
     leader = k; isLeader[k] = true; claimEra[k] = era; writer = k; carriesOver[k] = no; isClaimed = era == 1;
     if :: k == 0 -> isProven = false :: else fi;
     renewLease(k);
@@ -307,7 +336,7 @@
 proctype Host(byte k)
 {
     do
-    :: d_step { mayTakeOver(k) && tableCounts && (era == 1 || (writes == 0 -> k == 0 : k == 1)) -> takeOver(k) }
+    :: d_step { mayTakeOver(k) && tableCounts && mayLead(k) -> takeOver(k) }
     :: d_step { mayTakeOver(k) && !tableCounts -> owner = 0; takeOver(k) }
     :: d_step { mayTakeOver(k) && !tableCounts -> owner = 1; takeOver(k) }
     :: d_step { mayRenew(k) && claimEra[k] < era && leader == NOBODY && writes < LAST_WRITE ->
@@ -332,7 +361,7 @@
             grantState[k] == 0 ->
         viewPrevious[k] = false; viewAny[k] = true; cleared[k] = false; released[k] = false;
         if :: carriesOver[k] == withTable -> unknownLeft[k] = ANY_WAIT :: else fi;
-        hasEarlierGrants[k] = false; earlierLeft[k] = 0; forgetLedger(k); rewriteTable(k) }
+        earlierLeft[k] = 0; forgetLedger(k); rewriteTable(k) }
     :: d_step { carriesOver[k] != no && leader == k && findsTable && writes < LAST_WRITE && grantState[k] == 0 ->
         takeOver(k) }
     :: d_step { isLeaseRenewed(k) -> renewLease(k) }
@@ -350,7 +379,7 @@
         writes++; tableEra = claimEra[k]; staleTable(k) }
     /* Learns of the new leader or era, or its process ends. */
     :: d_step { isLeader[k] && (leader != k || claimEra[k] < era) -> isLeader[k] = false; forgetView(k) }
-    :: d_step { isLeader[k] && hasEarlierGrants[k] && earlierLeft[k] > ORDER + HOLD && saysStopped(1 - k) ->
+    :: d_step { isLeader[k] && earlierLeft[k] > ORDER + HOLD && saysStopped(1 - k) ->
         earlierLeft[k] = ORDER + HOLD }
     :: d_step { mayRenew(k) && viewPrevious[k] && !cleared[k] && grantState[k] == 0 && !released[k] ->
         holdLeft[1 - viewOwner[k]] = 0; released[k] = true }
@@ -362,6 +391,7 @@
         cleared[k] = true }
     :: d_step { mayRenew(k) && cleared[k] && grantState[k] == 0 ->
         grantState[k] = 1; orderLeft[k] = ORDER; grantTo[k] = viewOwner[k]; grantFence[k] = viewFence[k];
+        sentAfterStop[k] = earlierLeft[k] > 0 && isEnoughAfterStop(k);
         if :: k == 0 && mayGetProof -> grantSentIn = era :: else fi }
     :: d_step { grantState[k] == 1 -> grantState[k] = 2; ttlLeft[k] = HOLD }
     :: d_step { grantState[k] == 2 ->
@@ -369,7 +399,7 @@
         :: isLeader[k] ->
             if
             :: grantFence[k] == viewFence[k] && grantFence[k] >= seenFence[grantTo[k]] ->
-                hasEarlierGrants[k] = false; earlierLeft[k] = 0;
+                if :: sentAfterStop[k] -> earlierLeft[k] = 0 :: else fi;
                 if
                 :: k == 0 && grantMayProve && mayGetProof -> isProven = true; grantSentIn = 0
                 :: else
@@ -390,11 +420,25 @@
         applyGrant(lateTo, lateFence, lateTtlLeft);
         lateTtlLeft = 0; lateTo = 0; lateFence = 0 }
     :: d_step { mayWrite(k) && cleared[k] && (viewPrevious[k] || viewAny[k]) && leadsWithCurrentView(k) &&
-            !hasEarlierGrants[k] && writes < LAST_WRITE && holds(owner) ->
+            writes < LAST_WRITE && holds(owner) ->
         previous = false; anyPrevious = false; viewPrevious[k] = false; viewAny[k] = false; writeTable(k) }
     od
 }
 
+/* Forgets the token that an upstream has seen if no order can bear a lower one: new tokens are higher. */
+#if defined(KEEP_FENCES) || defined(NO_FENCE_ERA)
+#define mayComeBelow(u) true
+#else
+#define isBelow(fence, u) (fence < seenFence[u])
+#define mayComeBelow(u) ((isLeader[0] && isBelow(viewFence[0], u)) || (isLeader[1] && isBelow(viewFence[1], u)) || \
+    (grantState[0] > 0 && isBelow(grantFence[0], u)) || (grantState[1] > 0 && isBelow(grantFence[1], u)) || \
+    (lateTtlLeft > 0 && isBelow(lateFence, u)))
+#endif
+inline forgetFence(u)
+{
+    if :: !mayComeBelow(u) -> seenFence[u] = 0 :: else fi
+}
+
 #define passTick(time) time = (time > 0 -> time - 1 : 0)
 #define givesUp(k) (grantState[k] > 0 && orderLeft[k] == 0)
 
@@ -410,7 +454,8 @@
         passTick(unansweredLeft[0]); passTick(unansweredLeft[1]);
         passTick(orderLeft[0]); passTick(orderLeft[1]); passTick(ttlLeft[0]); passTick(ttlLeft[1]);
         passTick(lateTtlLeft);
-        if :: lateTtlLeft == 0 -> lateTo = 0; lateFence = 0 :: else fi }
+        if :: lateTtlLeft == 0 -> lateTo = 0; lateFence = 0 :: else fi;
+        forgetFence(0); forgetFence(1) }
     :: d_step { leader != NOBODY && leaseLeft == 0 -> leader = NOBODY }
     od
 }
@@ -421,7 +466,7 @@
  */
 inline restoreCopy(revision)
 {
-    d_step { era == 0 && writes > 0 && revision <= writes ->
+    d_step { RETURN && era == 0 && writes > 0 && revision <= writes ->
         lastLeader = leader; era = 1; leader = NOBODY; leaseLeft = 0;
         writes = revision; owner = 0; previous = false; writer = NOBODY;
 #ifdef NO_TABLE_ERA
@@ -430,6 +475,29 @@
     }
 }
 
+/*
+ * An order's connection belongs to one process of an upstream: those that have arrived are lost with it, and their
+ * senders see the connection end. One that has not arrived reaches the next process.
+ */
+inline restart(u)
+{
+    holdLeft[u] = 0; seenFence[u] = 0;
+    if :: grantState[0] == 2 && grantTo[0] == u -> forgetGrant(0) :: else fi;
+    if :: grantState[1] == 2 && grantTo[1] == u -> forgetGrant(1) :: else fi;
+    if :: lateTtlLeft > 0 && lateTo == u -> lateTtlLeft = 0; lateTo = 0; lateFence = 0 :: else fi
+}
+
+#define hasArrived(k, u) (grantState[k] == 2 && grantTo[k] == u)
+
+proctype Upstream(bit u)
+{
+    do
+    :: d_step { seenFence[u] > 0 || holds(u) || hasArrived(0, u) || hasArrived(1, u) ||
+            (lateTtlLeft > 0 && lateTo == u) ->
+        restart(u) }
+    od
+}
+
 proctype Store()
 {
 #ifdef NO_TABLE_ERA
@@ -445,7 +513,7 @@
 #endif
 }
 
-init { atomic { run Host(0); run Host(1); run Clock(); run Store() } }
+init { atomic { run Host(0); run Host(1); run Clock(); run Store(); run Upstream(0); run Upstream(1) } }
 
 ltl oneOwner { [] !(holds(0) && holds(1)) }
 /* Expected to be violated, which shows that the range can move to the other upstream. */
