Model: leaders give way at any time, and whose word of a stop counts

What callers could see: one key served by two upstreams (OWNER) after the store came back from an older copy.

Cause, as the model showed it with this transition: host 0 leads and loses its lease; host 1 is elected and writes a move; the store comes back from an older copy; host 0, still within its right, is elected in the new era, keeps its table and gives way. Host 1, which leads in the earlier era, hears that host 0 has stopped, which is true, and completes its move after the order and the hold. Host 0, or any other host, is elected again and grants to the owner that the table of the new era names: two holders. The same if host 1 has heard of the new era, claims it and carries over: only then does it find the newer table. The bound on keeping the table rests on the other leader's waiting for the whole outage.

Rule: a leader under a table of an earlier era does not believe that a host has stopped which was elected in a later one, nor does one that carries over (NO_STOP_ERA, NO_STOP_TABLE). Then its moves wait past its own right.

The code does not follow the rule yet.

--- a/models/ranges.pml
+++ b/models/ranges.pml
@@ -5,8 +5,8 @@
  * record that is bound to a lease. The leader writes the table (owner, previous owner, fencing token, writer), clears
  * the previous owner by a release or by waiting, and sends grants. An order may arrive up to ORDER ticks after it was
  * sent. If its answer is lost, it may be carried out at any later time, but its TTL counts from its arrival. A leader
- * goes on renewing for OUTAGE ticks after its lease has ended, whether or not the store can be reached. Host 0 leads
- * first and host 1 takes over; only orders of host 0 lose their answers.
+ * goes on renewing for OUTAGE ticks after its lease has ended, whether or not the store can be reached, or gives way at
+ * any time. Host 0 leads first and host 1 takes over; only orders of host 0 lose their answers.
  *
  * An upstream may start again under its name at any time: it forgets its grants and the fencing tokens that it has
  * seen, and nobody is told. Thus an accepted grant rules out grants of earlier leaders only if it was sent when these
@@ -58,6 +58,7 @@
 bit tableEra = 0; /* named in the table */
 bit owner = 0;
 bool previous = false; /* the other upstream is the previous owner and not yet cleared */
+byte predecessorLeft = 0; /* until the right of the leader before the table's writer has ended */
 bool anyPrevious = false; /* each upstream may be one */
 byte tableUnknownLeft = 0; /* until grants have expired that neither the table nor its writer knows of */
 byte writer = NOBODY;
@@ -156,6 +157,17 @@
 #else
 #define saysStopped(k) (!isLeader[k])
 #endif
+/*
+ * A leader under a table of an earlier era does not believe that a host has stopped which was elected in a later one:
+ * if that host gave way, whoever leads next grants as its table says.
+ */
+#ifdef NO_STOP_ERA
+#define believesStop(k) (carriesOver[k] == no)
+#elif defined(NO_STOP_TABLE)
+#define believesStop(k) (claimEra[k] == era || !isClaimed)
+#else
+#define believesStop(k) (carriesOver[k] == no && (claimEra[k] == era || !isClaimed))
+#endif
 #ifdef NO_RENEWAL_ERA
 #define isLeaseRenewed(k) (isLeader[k] && (leader == k || claimEra[k] < era))
 #else
@@ -251,6 +263,7 @@
     writes++;
     tableEra = era;
     tableUnknownLeft = unknownLeft[k];
+    predecessorLeft = (earlierLeft[k] > ORDER + HOLD -> earlierLeft[k] - ORDER - HOLD : 0);
     viewWrites[k] = writes;
 #ifdef NO_TABLE_ERA
     ownerAt[writes] = owner; previousAt[writes] = previous; writerAt[writes] = writer
@@ -274,7 +287,8 @@
     previous = previous && tableCounts;
     anyPrevious = viewAny[k] && namesAny;
     unknownLeft[k] = (tableCounts -> inheritedUnknown : ANY_WAIT);
-    earlierLeft[k] = (!tableCounts || writer == NOBODY -> 0 : (writer == k -> ORDER + HOLD : OUTAGE + ORDER + HOLD));
+    earlierLeft[k] = (!tableCounts || writer == NOBODY -> 0 :
+        (writer == k -> predecessorLeft : OUTAGE) + ORDER + HOLD);
     leader = k; isLeader[k] = true; claimEra[k] = era; writer = k; carriesOver[k] = no; isClaimed = era == 1;
     renewLease(k);
     writeTable(k);
@@ -353,8 +367,12 @@
         writes++; tableEra = claimEra[k]; staleTable(k) }
     /* Learns of the new leader or era, or its process ends. */
     :: d_step { isLeader[k] && (leader != k || claimEra[k] < era) -> isLeader[k] = false; forgetView(k) }
-    :: d_step { isLeader[k] && earlierLeft[k] > ORDER + HOLD && saysStopped(1 - k) ->
+    :: d_step { isLeader[k] && earlierLeft[k] > ORDER + HOLD && saysStopped(1 - k) &&
+            believesStop(k) ->
         earlierLeft[k] = ORDER + HOLD }
+    /* Gives way by itself; its lease is revoked. */
+    :: d_step { isLeader[k] && leader == k && claimEra[k] == era ->
+        leader = NOBODY; leaseLeft = 0; isLeader[k] = false; forgetView(k) }
     :: d_step { mayRenew(k) && viewPrevious[k] && !cleared[k] && grantState[k] == 0 && !released[k] ->
         holdLeft[1 - viewOwner[k]] = 0; released[k] = true }
     :: d_step { mayRenew(k) && viewPrevious[k] && !cleared[k] && grantState[k] == 0 && earlierGrantsExpired(k) &&
@@ -419,6 +437,7 @@
         passTick(leaseLeft); passTick(holdLeft[0]); passTick(holdLeft[1]);
         passTick(rightLeft[0]); passTick(rightLeft[1]); passTick(earlierLeft[0]); passTick(earlierLeft[1]);
         passTick(unknownLeft[0]); passTick(unknownLeft[1]); passTick(tableUnknownLeft);
+        passTick(predecessorLeft);
         passTick(answeredLeft[0]); passTick(answeredLeft[1]); passTick(answeredLeft[2]); passTick(answeredLeft[3]);
         passTick(unansweredLeft[0]); passTick(unansweredLeft[1]);
         passTick(orderLeft[0]); passTick(orderLeft[1]); passTick(ttlLeft[0]); passTick(ttlLeft[1]);
@@ -437,7 +456,7 @@
 {
     d_step { RETURN && era == 0 && writes > 0 && revision <= writes ->
         lastLeader = leader; era = 1; leader = NOBODY; leaseLeft = 0;
-        writes = revision; owner = 0; previous = false; writer = NOBODY;
+        writes = revision; owner = 0; previous = false; writer = NOBODY; predecessorLeft = 0;
 #ifdef NO_TABLE_ERA
         owner = ownerAt[writes]; previous = previousAt[writes]; writer = writerAt[writes]
 #endif
