Range leader: no stop counts while this host carries over a table

A leader that claims its office again in a new era, and still goes on under its own table, heard that a predecessor had stopped and completed a move of the earlier era by it. It now takes no such word until it has written its table. A host still confirms to a leader of a later era than its own that it does not lead.

No test over sockets.

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -113,7 +113,7 @@
 // Whether the process that wrote a table is known to have ended: its host's entry is from another process, and is newer
 // than the table. Writer names begin with "HOST#INCARNATION". This host's own earlier leadership has always ended, so
 // its own name counts as well. What is known of a later era than this host leads in says nothing: the writer may have
-// led in that era, and then its table holds there.
+// led in that era, and then its table holds there. Neither does anything while this host carries over.
 bool RangeLeader::hasWriterEnded(const std::string& writer) const
 {
     const auto separator = writer.find('#');
@@ -123,6 +123,8 @@
     const auto incarnation = std::strtoull(writer.c_str() + separator + 1, nullptr, 10);
     if (isSelf(m_context, host))
         return true;
+    if (m_carriesOver)
+        return false;
     const auto found = m_context.directory.hosts().find(host);
     return found != m_context.directory.hosts().end() && found->second.incarnation.value != incarnation
         && found->second.version > m_loadedRevision && eraOf(found->second.version) <= eraOf(m_recordRevision);
@@ -225,14 +227,13 @@
         return announcement();
     // A leader of an earlier era must not act on the end of one that may have led since: the revision of the reply
     // names no election of its.
-    const bool isOfPresentEra = eraOf(received.revision) == m_context.directory.storeEra();
-    return LeaderSteppedDown { m_service, m_context.incarnation,
-        isOfPresentEra ? received.revision : StoreRevision {} };
+    const bool isOutdated = eraOf(received.revision) < m_context.directory.storeEra();
+    return LeaderSteppedDown { m_service, m_context.incarnation, isOutdated ? StoreRevision {} : received.revision };
 }
 
 void RangeLeader::onLeaderSteppedDown(const HostName& from, const LeaderSteppedDown& stopped)
 {
-    if (!m_isLeader || stopped.revision != m_recordRevision)
+    if (!m_isLeader || m_carriesOver || stopped.revision != m_recordRevision)
         return;
     const std::string writerPrefix = from + "#" + std::to_string(stopped.incarnation.value) + "/";
     for (auto& [writer, leader] : m_previousLeaders) {
