--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -277,7 +277,7 @@
     const UpstreamName& upstreamOrGroup, const DataCentreName& near, const std::set<HostName>& failed)
 {
     const std::string name = absl::StrCat(service, "/", upstreamOrGroup);
-    const auto first = firstHostFor(context, name, near);
+    auto first = firstHostFor(context, name, near);
     if (!first || (failed.empty() && reaches(context, *first, service, upstreamOrGroup)))
         return first;
     const Millis now = monotonicNow();
--- a/src/gateway/reach_monitor.cpp
+++ b/src/gateway/reach_monitor.cpp
@@ -17,6 +17,7 @@
 std::vector<std::string> namesOf(const std::set<InstanceId>& instances)
 {
     std::vector<std::string> names;
+    names.reserve(instances.size());
     for (const auto& it : instances)
         names.push_back(it.name);
     return names;
