Logs: lines of requests name a fingerprint by which copies are told

A fingerprint of host, method, target, slot and body (its first 64 KB and its size) stays the same for each copy. It is seeded by the site's store, so that hosts can compare it.

No decision changes.

--- a/include/pistachiospur/request.h
+++ b/include/pistachiospur/request.h
@@ -39,7 +39,7 @@
     std::string target; // path and query to send to the upstream
     std::map<std::string, std::string> headers; // to send to the upstream, by lower-case name
     std::string body;
-    std::uint64_t fingerprint = 0; // of service, key, method, target and body
+    std::uint64_t fingerprint = 0; // the same for each copy that the caller sends; 0 if unknown
 };
 
 // Why the router refuses a request instead of returning an upstream's answer.
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -58,6 +58,15 @@
 
 bool isSelf(const GatewayContext& context, const HostName& host) { return host == context.settings.host; }
 
+std::uint64_t fingerprintOf(const GatewayContext& context, const Request& request, std::uint64_t bodyBytes)
+{
+    const std::string site = context.settings.store.text();
+    const auto host = request.headers.find("host");
+    const std::string_view callerHost = host == request.headers.end() ? std::string_view() : host->second;
+    return fingerprintOf({ callerHost, request.method, request.target, request.slot, request.body, bodyBytes },
+        XXH64(site.data(), site.size(), 0));
+}
+
 Millis ownPauseLeft(const GatewayContext& context, const InstanceId& instance, Millis now)
 {
     return pauseLeft(context.pauses, instance, context.settings.host, now);
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -5,6 +5,7 @@
 #include "observe/metrics.h"
 #include "peers/hub.h"
 #include "requests/pause.h"
+#include "requests/quarantine.h"
 #include "requests/stop.h"
 
 #include <map>
@@ -64,6 +65,8 @@
 };
 
 bool isSelf(const GatewayContext&, const HostName&);
+// The fingerprint of a caller's request. `bodyBytes` is the size of its whole body, 0 if that is not known.
+std::uint64_t fingerprintOf(const GatewayContext&, const Request&, std::uint64_t bodyBytes);
 // The time until this host may send an instance anything, orders included; zero if it may now.
 Millis ownPauseLeft(const GatewayContext&, const InstanceId&, Millis now);
 // All hosts in the directory except this one.
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -68,7 +68,8 @@
                 takeNotice(context, id, notice, sent.id);
             if (const auto* refusal = std::get_if<Refusal>(&reply))
                 logEvent(EventKind::request, "upstream_failed",
-                    { { "request", sent.id }, { "upstream", name }, { "outcome", outcomeName(reply) },
+                    { { "request", sent.id }, { "fingerprint", fingerprintText(sent.fingerprint) },
+                        { "upstream", name }, { "outcome", outcomeName(reply) },
                         { "ran", refusal->ran == Ran::no ? "no" : "unknown" },
                         { "ms", (monotonicNow() - startedAt).count() }, { "slot", sent.slot.value },
                         { "revision", textOf(context.directory.revision()) },
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -129,6 +129,8 @@
     request.target = std::move(http.target);
     request.headers = { http.headers.begin(), http.headers.end() };
     request.body = std::move(http.body);
+    request.fingerprint
+        = fingerprintOf(m_context, request, pending->rest ? pending->bodyBytes.value_or(0) : request.body.size());
     if (request.deadline <= now)
         return notRun(RefusalReason::deadlinePassed);
     if (m_context.stopping && !mayPassOn(m_context.stop, request.deadline))
@@ -586,7 +588,8 @@
     const char* outcome = refusal ? (refusal->ran == Ran::no ? "refused" : "unknown") : "answered";
     m_context.metrics.count("pistachiospur_requests_total",
         { { "service", request.service }, { "rank", request.rank }, { "outcome", outcome } });
-    std::vector<EventField> fields = { { "request", request.id }, { "route", pending->route },
+    std::vector<EventField> fields = { { "request", request.id },
+        { "fingerprint", fingerprintText(request.fingerprint) }, { "route", pending->route },
         { "service", request.service }, { "slot", request.slot.value }, { "ms", took.count() },
         { "tries", pending->refusedAttempts }, { "configuration", pending->configuration.value },
         { "revision", textOf(m_context.directory.revision()) }, { "age_ms", m_context.directory.age().count() } };
--- a/src/requests/quarantine.cpp
+++ b/src/requests/quarantine.cpp
@@ -1,7 +1,27 @@
 #include "quarantine.h"
 
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
 namespace pistachiospur {
 
+std::uint64_t fingerprintOf(const RequestIdentity& identity, std::uint64_t seed)
+{
+    const std::uint64_t numbers[] = { identity.slot.value, identity.bodyBytes };
+    XXH64_hash_t hash = XXH64(numbers, sizeof numbers, seed);
+    for (const auto it :
+        { identity.host, identity.method, identity.target, identity.body.substr(0, kFingerprintBodyBytes) })
+        hash = XXH64(it.data(), it.size(), hash + it.size());
+    return std::max<std::uint64_t>(1, hash);
+}
+
+std::string fingerprintText(std::uint64_t fingerprint)
+{
+    return absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16));
+}
+
 bool recordBreak(Quarantine& quarantine, const Suspicion& suspicion, Millis now)
 {
     Suspect& suspect = quarantine.suspects[suspicion.fingerprint];
--- a/src/requests/quarantine.h
+++ b/src/requests/quarantine.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string_view>
 #include <vector>
 
 // Quarantine of requests that crash the upstreams that run them. A request becomes a suspect if the connection to an
@@ -15,6 +16,8 @@
 constexpr Millis kQuarantineDuration { 600000 };
 constexpr unsigned kSendsPerSuspicion = 8; // heartbeats in which a host sends each suspicion
 constexpr std::size_t kSuspicionsPerHeartbeat = 6; // maximum
+// The part of a body by which a request is recognised. The rest of a larger one may still be arriving when it starts.
+constexpr std::size_t kFingerprintBodyBytes = 65536;
 
 // One broken connection, spread to other hosts by heartbeats.
 struct Suspicion {
@@ -41,6 +44,22 @@
     std::map<Suspicion, unsigned> unsentSuspicions; // number of heartbeats still to carry each suspicion
 };
 
+// What stays the same when a caller sends a request again under another id. The service is not part of it, since a
+// split route may choose another one for the next copy.
+struct RequestIdentity {
+    std::string_view host; // as the caller named it
+    std::string_view method;
+    std::string_view target;
+    SlotId slot;
+    std::string_view body; // at least its first kFingerprintBodyBytes
+    std::uint64_t bodyBytes = 0; // size of the whole body; 0 if its caller did not declare it
+};
+
+// Hosts compare fingerprints, so they use the same seed. Never 0, which stands for an unknown request.
+std::uint64_t fingerprintOf(const RequestIdentity&, std::uint64_t seed);
+// The text of a fingerprint in logs, keys and reports.
+std::string fingerprintText(std::uint64_t fingerprint);
+
 // Records a broken connection. Returns true if this break was not known yet.
 bool recordBreak(Quarantine&, const Suspicion&, Millis now);
 // Removes a request from the suspects after an upstream has answered it, unless it is already quarantined.
