BUDGET: a request that ends the upstreams that run it is refused after two ends

Cause: a host forgets a request with its answer, and a copy bears another id, so each copy was sent as if it were the first.

Ends grow with the time that copies come, for all three kinds alike (hypothesis 1); safe requests end no more than unsafe ones, so our own second attempts are not the cause (2); ends are one for each owner, not in quick succession, so neither is the queue (3).

Change: a run whose connection broke, and whose upstream is then found to have ended, is evidence; two in a row without an answer between quarantine the request's fingerprint. Records in the store tell all hosts, also those that start later, and outlast a restart of all. Every host asks on arrival, before each attempt, in the queue and at a turn. No message between hosts is new, so earlier builds run beside it.

The test of breaks without an end fails with hasEnded() taken out. Found by the tests on the way: a verdict that came back after an operator had cleared it, from runs noted before; two ends that were found at the same moment by two hosts counted as two in a row.

--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,6 +36,18 @@
 
 using PoolGroups = std::vector<PoolGroup>;
 
+// A run of a request that ended with its connection. Whether its upstream has ended as well is not known yet.
+struct BrokenRun {
+    std::uint64_t fingerprint = 0;
+    std::string requestId;
+    std::string target;
+    UpstreamInstance upstream;
+    Millis startedAt {}; // monotonic clock, as the other times
+    Millis brokenAt {};
+    Millis probedAt {}; // when the last test of the upstream's address began; zero if there was none
+    bool isUnreachable = false; // that test failed
+};
+
 struct GatewayContext {
     GatewayContext(GatewaySettings, const PlatformAdapter&, PeerHub::Handlers);
 
@@ -50,6 +63,9 @@
     std::map<ServiceName, PoolGroups> groups;
     Pauses pauses; // of this host, and of the hosts that send requests in turns which this host gives
     Reach reach; // of this host
+    Quarantine quarantine; // changed by QuarantineMonitor
+    std::vector<BrokenRun> brokenRuns; // noted by noteRun(), settled by QuarantineMonitor
+    std::set<std::uint64_t> answeredSuspects; // the same; by fingerprint
     std::map<HostName, ReachReport> lostByHost; // what other hosts report that they have lost
     std::map<HostName, Millis> unreachableUntil; // hosts that get no new work until then: link lost, or stopping
     // Orders of hosts by name, as computed for the current hosts; see hostsFor() and firstHostFor().
@@ -60,6 +76,7 @@
     };
     mutable Rankings rankings;
     bool rangesChanged = false; // a leader on this host changed the ranges; waiting requests must be re-evaluated
+    bool quarantineChanged = false; // a request has been quarantined; waiting requests must be re-evaluated
     bool stopping = false;
     PlannedStop stop; // while stopping
 };
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -1,7 +1,9 @@
 #include "directory.h"
 
 #include "observe/events.h"
+#include "requests/quarantine.h"
 
+#include <absl/strings/numbers.h>
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
@@ -17,6 +19,7 @@
 const std::string kLeaderPrefix = "pistachiospur/keepers/";
 const std::string kTablePrefix = "pistachiospur/ranges/";
 const std::string kClaimPrefix = "pistachiospur/claims/";
+const std::string kQuarantinePrefix = "pistachiospur/quarantine/";
 
 // Delay between a failed store call and the next one.
 constexpr Millis kStoreRetryDelay { 250 };
@@ -56,6 +59,16 @@
 std::string tableKey(const ServiceName& service) { return kTablePrefix + service; }
 bool isTableKey(const std::string& key) { return beginsWith(key, kTablePrefix); }
 
+std::string quarantineKey(std::uint64_t fingerprint) { return kQuarantinePrefix + fingerprintText(fingerprint); }
+
+std::optional<std::uint64_t> quarantinedFingerprint(const std::string& key)
+{
+    std::uint64_t fingerprint = 0;
+    const bool isOne
+        = beginsWith(key, kQuarantinePrefix) && absl::SimpleHexAtoi(key.substr(kQuarantinePrefix.size()), &fingerprint);
+    return isOne ? std::optional(fingerprint) : std::nullopt;
+}
+
 Directory::Directory(
     const GatewaySettings& settings, const PlatformAdapter& adapter, HttpClient& http, Incarnation incarnation)
     : m_settings(settings)
@@ -303,6 +316,17 @@
         applyHost(change.key.substr(kHostPrefix.size()), change);
     else if (beginsWith(change.key, kLeaderPrefix))
         applyLeader(change.key.substr(kLeaderPrefix.size()), change);
+    else if (const auto fingerprint = quarantinedFingerprint(change.key))
+        applyQuarantine(*fingerprint, change);
+}
+
+void Directory::applyQuarantine(std::uint64_t fingerprint, const KeyChange& change)
+{
+    std::vector<FieldError> faults;
+    const auto record = change.text ? decodeQuarantineRecord(*change.text, faults) : std::nullopt;
+    noteRefusal("quarantine_record_refused", { "fingerprint", fingerprintText(fingerprint) }, change, faults);
+    if (m_onQuarantineChange)
+        m_onQuarantineChange(fingerprint, record, change.text ? change.version : StoreRevision {});
 }
 
 void Directory::applyConfiguration(const std::string& text)
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -36,6 +36,9 @@
 std::string claimKey(const ServiceName&, const std::string& claim);
 std::string tableKey(const ServiceName&);
 bool isTableKey(const std::string& key);
+std::string quarantineKey(std::uint64_t fingerprint);
+// The fingerprint that a key names; nothing if it is no key of a quarantine record.
+std::optional<std::uint64_t> quarantinedFingerprint(const std::string& key);
 
 class Directory {
 public:
@@ -52,6 +55,10 @@
     // Sets the callback for what this host's own watch delivers; it is sent on to the other hosts. A batch without
     // changes confirms that there are none.
     void onWatchAnswer(std::function<void(const ChangeBatch&)> callback) { m_onWatchAnswer = std::move(callback); }
+    // Sets the callback for changes of quarantine records; it gets nothing for a record that is gone or cannot be read.
+    using QuarantineCallback
+        = std::function<void(std::uint64_t fingerprint, const std::optional<QuarantineRecord>&, StoreRevision)>;
+    void onQuarantineChange(QuarantineCallback callback) { m_onQuarantineChange = std::move(callback); }
     // Applies a batch from the host that watches the store. Reads the whole store if changes before the batch are
     // missing. `age` is the time since the sender's copy held every change of the store, `lapseGrace` what the sender's
     // lapseGrace() returned.
@@ -132,6 +139,7 @@
     void applyUpstreamGone(const UpstreamName&, const KeyChange&);
     void applyHost(const HostName&, const KeyChange&);
     void applyLeader(const ServiceName&, const KeyChange&);
+    void applyQuarantine(std::uint64_t fingerprint, const KeyChange&);
     void noteRefusal(
         const char* event, const EventField& subject, const KeyChange&, const std::vector<FieldError>& faults);
     void setLeader(const ServiceName&, LeaderEntry);
@@ -148,6 +156,7 @@
     Incarnation m_incarnation;
     std::function<void()> m_onChange;
     std::function<void(const ChangeBatch&)> m_onWatchAnswer;
+    QuarantineCallback m_onQuarantineChange;
     bool m_watching = true; // this host watches the store itself
     bool m_reading = false; // a read of the whole store is under way
     Millis m_readStartedAt {}; // monotonic clock
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "notices.h"
 #include "observe/events.h"
+#include "quarantine_monitor.h"
 #include "reach_monitor.h"
 
 #include <nlohmann/json.hpp>
@@ -57,7 +58,10 @@
             RateNotice rate = answer ? context.adapter.readRate(*answer) : RateNotice {};
             const UpstreamNotice notice
                 = answer ? context.adapter.readNotice(*answer, sent.id, name) : UpstreamNotice {};
+            const auto* failure = std::get_if<HttpFailure>(&outcome);
+            const bool connectionBroke = failure && failure->fault == HttpFault::broken;
             Reply reply = context.adapter.interpretAnswer(std::move(outcome), sent, name);
+            noteRun(context, upstream, sent, reply, connectionBroke, startedAt);
             const auto* refused = std::get_if<Refusal>(&reply);
             // Another upstream says nothing of this one, and an answer that is not valid may lack any header.
             const bool isOther = refused && refused->reason == RefusalReason::upstreamReplaced;
@@ -201,6 +205,10 @@
         added.callback(notRun(RefusalReason::notCoordinator));
         return 0;
     }
+    if (const Millis left = quarantineLeft(m_context, added.request, monotonicNow()); left > Millis(0)) {
+        added.callback(notRun(RefusalReason::quarantined, left));
+        return 0;
+    }
     if (const Millis pause = pauseLeftFor(pool, added.origin, monotonicNow()); pause > Millis(0)) {
         added.callback(pausedRefusal(pool, added.request.order, pause));
         return 0;
@@ -261,8 +269,27 @@
     return best;
 }
 
+// Refuses the waiting requests that have been quarantined since they arrived.
+void Dispatcher::refuseQuarantined(Pool& pool)
+{
+    if (m_context.quarantine.suspects.empty() || waitingCount(pool.queue) == 0)
+        return;
+    const Millis now = monotonicNow();
+    std::vector<std::pair<JobId, Millis>> quarantined;
+    for (const auto& [id, job] : pool.jobs) {
+        const Millis left = quarantineLeft(m_context, job.request, now);
+        if (!job.running && left > Millis(0))
+            quarantined.emplace_back(id, left);
+    }
+    for (const auto& [id, left] : quarantined) {
+        removeWaiting(pool.queue, id);
+        finish(pool, id, notRun(RefusalReason::quarantined, left));
+    }
+}
+
 void Dispatcher::startWaiting(Pool& pool)
 {
+    refuseQuarantined(pool);
     while (waitingCount(pool.queue) > 0) {
         const Millis now = monotonicNow();
         if (!chooseMember(pool, {}, now))
@@ -332,7 +359,9 @@
     noteRate(job, rate, now);
     Member& member = pool.members[job.instance];
     const auto* refusal = std::get_if<Refusal>(&reply);
-    if (refusal && refusal->ran == Ran::no && refusal->reason != RefusalReason::upstreamPaused) {
+    const bool isOfUpstream
+        = refusal && refusal->reason != RefusalReason::upstreamPaused && refusal->reason != RefusalReason::quarantined;
+    if (isOfUpstream && refusal->ran == Ran::no) {
         member.avoidedUntil = now + kAvoidTime;
     } else if (!refusal) {
         const double ms = static_cast<double>((now - job.startedAt).count());
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -101,6 +101,7 @@
     void refreshSlots(Pool&);
     void refuseMoved(Pool&);
     void refusePaused(Pool&);
+    void refuseQuarantined(Pool&);
     Millis pauseLeftFor(const Pool&, const RequestOrigin&, Millis now) const;
     Refusal pausedRefusal(const Pool&, RankOrder, Millis pause) const;
     const InstanceEntry* chooseMember(Pool&, const RequestOrigin&, Millis now);
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -1,6 +1,7 @@
 #include "frontend.h"
 
 #include "observe/events.h"
+#include "quarantine_monitor.h"
 
 #include <algorithm>
 #include <utility>
@@ -131,6 +132,8 @@
     request.body = std::move(http.body);
     request.fingerprint
         = fingerprintOf(m_context, request, pending->rest ? pending->bodyBytes.value_or(0) : request.body.size());
+    if (const Millis left = quarantineLeft(m_context, request, now); left > Millis(0))
+        return notRun(RefusalReason::quarantined, left);
     if (request.deadline <= now)
         return notRun(RefusalReason::deadlinePassed);
     if (m_context.stopping && !mayPassOn(m_context.stop, request.deadline))
@@ -197,6 +200,8 @@
     PendingRequest& pending = *m_pending.at(id);
     Request& request = pending.request;
     const unsigned attemptNumber = ++pending.attempt;
+    if (const Millis left = quarantineLeft(m_context, request, monotonicNow()); left > Millis(0))
+        return onReply(id, attemptNumber, notRun(RefusalReason::quarantined, left));
     if (!isKeyed(request.service)) {
         pending.group = chooseGroupFor(pending);
         const auto groups = m_context.groups.find(request.service);
@@ -335,6 +340,11 @@
         // The coordinator did not know; it chooses again, or refuses if there is no other upstream.
         return onReply(id, attempt, notRun(RefusalReason::notCoordinator));
     }
+    if (const Millis left = quarantineLeft(m_context, pending.request, monotonicNow()); left > Millis(0)) {
+        const Reply refused = notRun(RefusalReason::quarantined, left);
+        m_context.hub.send(from, RelayTurnOver { turn.id, refused, {} });
+        return onReply(id, attempt, refused);
+    }
     pending.state = State::sending;
     pending.link = kNoLink; // from here on the request does not depend on the coordinator
     pending.call = sendRequest(m_context, upstream->instance, pending.request, { pending.rest, pending.bodyBytes },
@@ -471,7 +481,7 @@
         return false;
     if (refusal.ran == Ran::unknown) {
         return request.idempotent && refusal.reason != RefusalReason::upstreamTimeout
-            && pending.possibleRuns < pending.maxAttempts
+            && !isSuspect(m_context.quarantine, request.fingerprint) && pending.possibleRuns < pending.maxAttempts
             && spendRetry(m_retryWindowBudgets[request.service], retryWindowPolicy(), now);
     }
     switch (refusal.reason) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "notices.h"
 #include "observe/events.h"
 
+#include <absl/strings/numbers.h>
 #include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 
@@ -39,6 +40,7 @@
 constexpr Millis kMemoryRetryAfter { 500 };
 constexpr std::size_t kMaxCallerBodyBytes = 64u << 20;
 constexpr std::size_t kMaxAdminBodyBytes = 4096;
+const std::string kQuarantinePath = "/quarantine/";
 
 template <typename... Handlers> struct Overloaded : Handlers... {
     using Handlers::operator()...;
@@ -52,6 +54,7 @@
     , m_context(settings, adapter, peerHandlers())
     , m_watcher(m_context)
     , m_reachMonitor(m_context)
+    , m_quarantineMonitor(m_context)
     , m_dispatcher(m_context)
     , m_frontend(m_context, m_dispatcher)
     , m_callerServer(
@@ -141,12 +144,15 @@
     m_context.directory.tick();
     m_watcher.tick();
     m_reachMonitor.tick();
+    m_quarantineMonitor.tick();
     for (auto& [name, leader] : m_leaders)
         leader->tick();
     if (std::exchange(m_context.rangesChanged, false)) {
         m_dispatcher.refreshRanges();
         m_frontend.refresh();
     }
+    if (std::exchange(m_context.quarantineChanged, false))
+        m_frontend.refresh();
     m_dispatcher.tick();
     m_tickTimer.once(isBusy() ? kBusyTickInterval : kIdleTickInterval);
 }
@@ -206,6 +212,9 @@
 {
     const Millis now = monotonicNow();
     relay.request.deadline += now;
+    // Earlier builds send no fingerprint.
+    if (relay.request.fingerprint == 0 && !relay.turnOnly)
+        relay.request.fingerprint = fingerprintOf(m_context, relay.request, relay.request.body.size());
     const PlannedStop& stop = m_context.stop;
     if (m_context.stopping && (now >= stop.requestedAt + kPeerNoticeTime || !mayPassOn(stop, relay.request.deadline))) {
         m_context.hub.send(from, RelayReply { relay.id, notRun(RefusalReason::stopping), Millis(0) });
@@ -358,14 +367,26 @@
         { "store_era", m_context.directory.storeEra().value }, { "copy_age_ms", m_context.directory.age().count() },
         { "store_reached", m_context.directory.isStoreReachable() }, { "stopping", m_context.stopping },
         { "open_requests", m_frontend.pendingCount() }, { "hosts", hosts }, { "upstreams", upstreams },
-        { "keepers", leaders } };
+        { "keepers", leaders }, { "quarantine", m_quarantineMonitor.report() } };
     return { 200, { { "Content-Type", "application/json" } }, status.dump() };
 }
 
+HttpResponse Gateway::clearQuarantine(const std::string& text)
+{
+    std::uint64_t fingerprint = 0;
+    if (!absl::SimpleHexAtoi(text, &fingerprint))
+        return { 400, {}, "the fingerprint must be a hexadecimal number\n" };
+    if (!m_quarantineMonitor.clear(fingerprint))
+        return { 404, {}, "no such request is suspected or quarantined\n" };
+    return { 204, {}, "" };
+}
+
 HttpResponse Gateway::answerAdmin(const HttpRequest& request)
 {
     if (request.path == "/status")
         return statusReport();
+    if (request.method == "DELETE" && request.path.compare(0, kQuarantinePath.size(), kQuarantinePath) == 0)
+        return clearQuarantine(request.path.substr(kQuarantinePath.size()));
     if (request.path != "/metrics")
         return { 404, {}, "" };
     m_dispatcher.publishMetrics();
@@ -378,6 +399,11 @@
     m_context.metrics.set(
         "pistachiospur_store_revision", {}, static_cast<double>(counterOf(directory.revision()).value));
     m_context.metrics.set("pistachiospur_hosts_alive", {}, static_cast<double>(directory.hosts().size()));
+    const auto& suspects = m_context.quarantine.suspects;
+    const auto isRefused
+        = [this](const auto& it) { return isQuarantined(m_context.quarantine, it.first, monotonicNow()); };
+    m_context.metrics.set("pistachiospur_quarantined", {},
+        static_cast<double>(std::count_if(suspects.begin(), suspects.end(), isRefused)));
     publishTraffic(m_context.metrics, m_context.hub);
     for (const auto& [kind, n] : m_context.directory.store().callCounts())
         m_context.metrics.raise("pistachiospur_store_calls_total", { { "kind", kind } }, static_cast<double>(n));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "frontend.h"
 #include "leader.h"
+#include "quarantine_monitor.h"
 #include "reach_monitor.h"
 #include "watcher.h"
 
@@ -51,6 +52,7 @@
     bool isBusy() const;
     HttpResponse answerAdmin(const HttpRequest&);
     HttpResponse statusReport() const;
+    HttpResponse clearQuarantine(const std::string& fingerprint);
     void checkStopped();
     void checkSettingsFile();
 
@@ -58,6 +60,7 @@
     GatewayContext m_context;
     StoreWatcher m_watcher;
     ReachMonitor m_reachMonitor;
+    QuarantineMonitor m_quarantineMonitor;
     Dispatcher m_dispatcher;
     GatewayFrontend m_frontend;
     std::map<ServiceName, std::unique_ptr<RangeLeader>> m_leaders; // candidates included: one for each keyed service
--- a/src/gateway/records.cpp
+++ b/src/gateway/records.cpp
@@ -2,6 +2,9 @@
 
 #include "config/fields.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace pistachiospur {
@@ -10,6 +13,7 @@
 
 constexpr double kMinWeight = 0.01; // rendezvous hashing divides by the weight
 constexpr double kMaxWeight = 4096; // processor cores
+constexpr std::size_t kMaxBreaksPerRecord = 16;
 
 StoreRevision readVersion(FieldReader& reader, StoreRevision stored)
 {
@@ -75,4 +79,32 @@
     return decodeLeaderEntry(text, stored, ignored);
 }
 
+std::string encode(const QuarantineRecord& record)
+{
+    Json breaks = Json::array();
+    for (const auto it : record.breakIds) {
+        if (breaks.size() < kMaxBreaksPerRecord)
+            breaks.push_back(absl::StrCat(absl::Hex(it)));
+    }
+    const Json document = { { "breaks", breaks }, { "request", record.request }, { "cleared", record.cleared } };
+    return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<QuarantineRecord> decodeQuarantineRecord(const std::string& text, std::vector<FieldError>& faults)
+{
+    const auto document = parseDocument(text, "quarantine", faults);
+    if (!document)
+        return std::nullopt;
+    FieldReader reader(*document, "quarantine", faults);
+    QuarantineRecord record;
+    for (const auto& it : reader.texts("breaks", 0)) {
+        std::uint64_t id = 0;
+        if (record.breakIds.size() < kMaxBreaksPerRecord && absl::SimpleHexAtoi(it, &id))
+            record.breakIds.insert(id);
+    }
+    record.request = reader.textOr("request", "");
+    record.cleared = reader.flagOr("cleared", false);
+    return faults.empty() ? std::optional(record) : std::nullopt;
+}
+
 } // namespace pistachiospur
--- a/src/gateway/records.h
+++ b/src/gateway/records.h
@@ -4,11 +4,13 @@
 #include "pistachiospur/errors.h"
 #include "store/store.h"
 
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
-// The records of hosts and range leaders in the store.
+// The records of hosts, range leaders and quarantined requests in the store.
 namespace pistachiospur {
 
 struct HostEntry {
@@ -32,6 +34,13 @@
     StoreRevision version; // in the era in which its host was elected; in any later era the record does not count
 };
 
+// What is known of a request that ends the upstreams that run it. Its key names its fingerprint.
+struct QuarantineRecord {
+    std::set<std::uint64_t> breakIds;
+    std::string request; // method and target of one copy, for operators
+    bool cleared = false; // by an operator
+};
+
 // The text of a record, and the record of a text; nothing, with the faults, if it is not one. `stored` is the key's
 // version. A record names an era of its own up to that of `stored`; one beyond would outrank all later records.
 std::string encode(const HostEntry&);
@@ -41,5 +50,7 @@
 std::optional<LeaderEntry> decodeLeaderEntry(
     const std::string& text, StoreRevision stored, std::vector<FieldError>& faults);
 std::optional<LeaderEntry> decodeLeaderEntry(const std::string& text, StoreRevision stored);
+std::string encode(const QuarantineRecord&);
+std::optional<QuarantineRecord> decodeQuarantineRecord(const std::string& text, std::vector<FieldError>& faults);
 
 } // namespace pistachiospur
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -42,6 +42,8 @@
             "parts of the configuration in force that this version cannot read" },
         { "pistachiospur_body_bytes", "gauge", "memory that bodies in transit use on this host" },
         { "pistachiospur_callback_errors_total", "counter", "unexpected errors, each of which ended one callback" },
+        { "pistachiospur_upstream_ends_total", "counter",
+            "runs of requests during which their upstream ended, by whether they count as evidence" },
         { "pistachiospur_quarantined", "gauge", "requests that are quarantined" },
         { "pistachiospur_peer_links", "gauge", "open links to other hosts" },
         { "pistachiospur_hosts_alive", "gauge", "hosts that this host considers alive, including itself" },
--- a/src/requests/quarantine.cpp
+++ b/src/requests/quarantine.cpp
@@ -7,6 +7,21 @@
 
 namespace pistachiospur {
 
+namespace {
+
+// Removes the suspect with the oldest break; a quarantined one only if all are.
+void evictOldest(Quarantine& quarantine)
+{
+    const auto key = [](const auto& it) {
+        return std::make_pair(it.second.breakIds.size() >= kBreaksUntilQuarantine, it.second.lastBreakAt);
+    };
+    const auto oldest = std::min_element(quarantine.suspects.begin(), quarantine.suspects.end(),
+        [&](const auto& a, const auto& b) { return key(a) < key(b); });
+    quarantine.suspects.erase(oldest);
+}
+
+} // namespace
+
 std::uint64_t fingerprintOf(const RequestIdentity& identity, std::uint64_t seed)
 {
     const std::uint64_t numbers[] = { identity.slot.value, identity.bodyBytes };
@@ -22,16 +37,31 @@
     return absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16));
 }
 
-bool recordBreak(Quarantine& quarantine, const Suspicion& suspicion, Millis now)
+bool addBreak(Quarantine& quarantine, const Suspicion& suspicion, Millis now)
 {
+    if (!quarantine.suspects.count(suspicion.fingerprint) && quarantine.suspects.size() >= kMaxSuspects)
+        evictOldest(quarantine);
     Suspect& suspect = quarantine.suspects[suspicion.fingerprint];
     if (!suspect.breakIds.insert(suspicion.breakId).second)
         return false;
     suspect.lastBreakAt = now;
+    return true;
+}
+
+bool recordBreak(Quarantine& quarantine, const Suspicion& suspicion, Millis now)
+{
+    if (!addBreak(quarantine, suspicion, now))
+        return false;
     quarantine.unsentSuspicions[suspicion] = kSendsPerSuspicion;
     return true;
 }
 
+bool addsEvidence(const Quarantine& quarantine, std::uint64_t fingerprint, Millis runStartedAt)
+{
+    const auto it = quarantine.suspects.find(fingerprint);
+    return it == quarantine.suspects.end() || runStartedAt > it->second.lastBreakAt;
+}
+
 void onAnswered(Quarantine& quarantine, std::uint64_t fingerprint)
 {
     const auto it = quarantine.suspects.find(fingerprint);
@@ -39,11 +69,22 @@
         quarantine.suspects.erase(it);
 }
 
-bool isQuarantined(const Quarantine& quarantine, std::uint64_t fingerprint, Millis now)
+Millis quarantineLeft(const Quarantine& quarantine, std::uint64_t fingerprint, Millis now)
 {
     const auto it = quarantine.suspects.find(fingerprint);
-    return it != quarantine.suspects.end() && it->second.breakIds.size() >= kBreaksUntilQuarantine
-        && now < it->second.lastBreakAt + kQuarantineDuration;
+    if (it == quarantine.suspects.end() || it->second.breakIds.size() < kBreaksUntilQuarantine)
+        return Millis(0);
+    return std::max(Millis(0), it->second.lastBreakAt + kQuarantineDuration - now);
+}
+
+bool isQuarantined(const Quarantine& quarantine, std::uint64_t fingerprint, Millis now)
+{
+    return quarantineLeft(quarantine, fingerprint, now) > Millis(0);
+}
+
+bool isSuspect(const Quarantine& quarantine, std::uint64_t fingerprint)
+{
+    return quarantine.suspects.count(fingerprint) > 0;
 }
 
 std::vector<Suspicion> nextSuspicions(Quarantine& quarantine)
--- a/src/requests/quarantine.h
+++ b/src/requests/quarantine.h
@@ -16,6 +16,8 @@
 constexpr Millis kQuarantineDuration { 600000 };
 constexpr unsigned kSendsPerSuspicion = 8; // heartbeats in which a host sends each suspicion
 constexpr std::size_t kSuspicionsPerHeartbeat = 6; // maximum
+// Callers choose what is kept. Beyond this number the suspect with the oldest break goes, quarantined ones last.
+constexpr std::size_t kMaxSuspects = 1024;
 // The part of a body by which a request is recognised. The rest of a larger one may still be arriving when it starts.
 constexpr std::size_t kFingerprintBodyBytes = 65536;
 
@@ -60,11 +62,20 @@
 // The text of a fingerprint in logs, keys and reports.
 std::string fingerprintText(std::uint64_t fingerprint);
 
-// Records a broken connection. Returns true if this break was not known yet.
+// Records a broken connection and returns true if it was not known yet. It is spread by heartbeats.
 bool recordBreak(Quarantine&, const Suspicion&, Millis now);
+// The same for a break that is made known to other hosts in another way.
+bool addBreak(Quarantine&, const Suspicion&, Millis now);
+// Whether a break adds to what is known of a request. A run that began before the last break was known may have ended
+// by the same failure, such as the loss of a rack, so it adds nothing.
+bool addsEvidence(const Quarantine&, std::uint64_t fingerprint, Millis runStartedAt);
 // Removes a request from the suspects after an upstream has answered it, unless it is already quarantined.
 void onAnswered(Quarantine&, std::uint64_t fingerprint);
 bool isQuarantined(const Quarantine&, std::uint64_t fingerprint, Millis now);
+// How much longer a request is quarantined; zero if it is not.
+Millis quarantineLeft(const Quarantine&, std::uint64_t fingerprint, Millis now);
+// Whether a break of the request is known and no answer to it since.
+bool isSuspect(const Quarantine&, std::uint64_t fingerprint);
 // The suspicions for the next heartbeat.
 std::vector<Suspicion> nextSuspicions(Quarantine&);
 // Removes the suspects whose last break is older than kQuarantineDuration.
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -119,6 +119,12 @@
     return it == m_state.items.end() ? std::string() : it->second.value;
 }
 
+bool KvStandin::hasKeyWith(const std::string& prefix) const
+{
+    const auto it = m_state.items.lower_bound(prefix);
+    return it != m_state.items.end() && it->first.compare(0, prefix.size(), prefix) == 0;
+}
+
 void KvStandin::compactHistory()
 {
     m_state.compactedRevision = m_state.revision;
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -32,6 +32,8 @@
     void remove(const std::string& key);
     // The key's value; empty if the key does not exist.
     std::string value(const std::string& key) const;
+    // Whether a key begins with the prefix.
+    bool hasKeyWith(const std::string& prefix) const;
     // Discards the history and answers the waiting watches with 410.
     void compactHistory();
     std::uint64_t revision() const { return m_state.revision; }
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway_fixture.h"
+#include "raw_site.h"
 
 #include <map>
 
@@ -50,6 +51,14 @@
 
     void sendCopy(std::size_t host) { start(m_poison, kSlot, host, true); }
 
+    HttpAnswer answerToCopy(std::size_t host)
+    {
+        HttpCall copy = call(m_poison, "a" + std::to_string(++m_number), host);
+        if (copy.method == "POST")
+            copy.body = kBody;
+        return sendCall(std::move(copy));
+    }
+
     std::size_t lateSends() const
     {
         if (m_ends.size() < kEndsBeforeWindow)
@@ -59,6 +68,21 @@
             std::count_if(m_ends.begin(), m_ends.end(), [&](Millis it) { return it > from; }));
     }
 
+    // Sends copies until so many upstreams have ended.
+    bool endUpstreamsOneByOne(std::size_t n)
+    {
+        const Millis limit = monotonicNow() + kTestTimeout;
+        while (m_ends.size() < n && monotonicNow() < limit) {
+            sendCopy(0);
+            const std::size_t known = m_ends.size();
+            runLoopUntil([&] { return m_ends.size() > known; }, Millis(300));
+        }
+        return m_ends.size() >= n;
+    }
+
+    // While this is false, upstreams answer the copies as any other request.
+    bool isHarmful = true;
+
     std::size_t ends() const { return m_ends.size(); }
     const std::map<int, unsigned>& copyStatuses() const { return m_copyStatuses; }
 
@@ -114,8 +138,11 @@
         const Millis now = monotonicNow();
         for (auto it = upstreams.begin(); it != upstreams.end();) {
             const auto& received = (*it)->received;
-            const bool ends = std::any_of(
-                received.begin(), received.end(), [&](const ReceivedRequest& n) { return n.target == m_poison; });
+            std::size_t& seen = m_seenRuns[(*it)->name()];
+            const bool ends = isHarmful
+                && std::any_of(received.begin() + static_cast<std::ptrdiff_t>(seen), received.end(),
+                    [&](const ReceivedRequest& n) { return n.target == m_poison; });
+            seen = received.size();
             if (!ends) {
                 ++it;
                 continue;
@@ -139,6 +166,7 @@
     HttpClient m_callers { 1u << 20 };
     std::vector<Millis> m_ends; // of upstreams, each by one copy
     std::vector<Return> m_returns;
+    std::map<std::string, std::size_t> m_seenRuns; // of each upstream
     std::map<int, unsigned> m_copyStatuses;
     unsigned m_sent = 0, m_answered = 0, m_open = 0, m_number = 0, m_round = 0;
     int m_lastUpstream = 100;
@@ -168,4 +196,111 @@
 // Guards against the same at the upstreams of a pooled service, which need no grant before they run the next copy.
 BOOST_AUTO_TEST_CASE(pooledRequestThatEndsUpstreamsIsStopped) { checkIsStopped("/pool/poison"); }
 
+// Guards against a quarantine that is forgotten when all hosts start again at once, and that hosts do not know which
+// start later. They refuse copies at once, as not run.
+BOOST_AUTO_TEST_CASE(quarantineOutlastsARestartOfAllHosts)
+{
+    CrashSite site("/unsafe/poison");
+    BOOST_REQUIRE(site.waitUntilServed());
+    BOOST_REQUIRE(site.endUpstreamsOneByOne(2));
+    BOOST_TEST(site.runLoopUntil([&] { return site.store.hasKeyWith("pistachiospur/quarantine/"); }));
+    site.runLoopUntil([] { return false; }, Millis(1000));
+    const std::size_t ends = site.ends();
+    site.gateways.clear();
+    for (int n = 3; n < 5; ++n)
+        site.addHost(n);
+    for (std::size_t n = 3; n < 5; ++n) {
+        BOOST_REQUIRE(site.waitUntilServed(n));
+        const HttpAnswer answer = site.answerToCopy(n);
+        BOOST_TEST(answer.status == 503);
+        BOOST_TEST(answer.body == "quarantined");
+    }
+    BOOST_TEST(site.ends() == ends);
+}
+
+// Guards against a quarantine that an operator cannot end, or ends at one host only.
+BOOST_AUTO_TEST_CASE(quarantineThatAnOperatorClearsEndsAtAllHosts)
+{
+    CrashSite site("/pool/mended");
+    BOOST_REQUIRE(site.waitUntilServed());
+    BOOST_REQUIRE(site.endUpstreamsOneByOne(2));
+    BOOST_TEST(site.runLoopUntil([&] {
+        site.runLoopUntil([] { return false; }, Millis(700));
+        return site.answerToCopy(2).body == "quarantined";
+    }));
+    site.isHarmful = false;
+    HttpCall status;
+    status.endpoint = site.adminEndpoints[1];
+    status.method = "GET";
+    status.target = "/status";
+    const Json listed = Json::parse(site.sendCall(status).body).at("quarantine");
+    BOOST_REQUIRE(listed.size() == 1u);
+    HttpCall clear = status;
+    clear.method = "DELETE";
+    for (const auto& [target, expected] : std::map<std::string, int> { { "/quarantine/odd", 400 },
+             { "/quarantine/1", 404 }, { "/quarantine/" + listed[0].at("fingerprint").get<std::string>(), 204 } }) {
+        clear.target = target;
+        BOOST_TEST(site.sendCall(clear).status == expected);
+    }
+    for (std::size_t host = 0; host < 3; ++host)
+        BOOST_TEST(site.runLoopUntil([&] {
+            site.runLoopUntil([] { return false; }, Millis(100));
+            return site.answerToCopy(host).status == 200;
+        }));
+}
+
+// Guards against a sound request that is refused because it ran beside the one that ended its upstream, or at upstreams
+// that ended for another reason: its next answer clears it.
+BOOST_AUTO_TEST_CASE(requestThatIsAnsweredBetweenTwoEndsIsServed)
+{
+    CrashSite site("/pool/unlucky");
+    BOOST_REQUIRE(site.waitUntilServed());
+    for (std::size_t n = 1; n <= 3; ++n) {
+        site.isHarmful = true;
+        BOOST_REQUIRE(site.endUpstreamsOneByOne(n));
+        site.isHarmful = false;
+        site.runLoopUntil([] { return false; }, Millis(700));
+        for (std::size_t host = 0; host < 3; ++host)
+            BOOST_TEST(site.answerToCopy(host).status == 200);
+    }
+}
+
+// Guards against a request that is refused because connections broke at upstreams that go on.
+BOOST_AUTO_TEST_CASE(brokenConnectionsOfUpstreamsThatGoOnAreNoEvidence)
+{
+    bool isBroken = true;
+    const RawUpstream::Handler handler = [&](const RawRequest& request) -> std::vector<RawPart> {
+        if (isBroken && request.http.path == "/pool/broken")
+            return { { "", RawEnding::reset, Millis(40) } };
+        return { { sealedAnswer(request.id, "{}") } };
+    };
+    RawSite site(2, handler);
+    RawUpstream second("pool", "second", handler);
+    site.store.put("servers/second", second.entry(1));
+    site.store.put("servers/" + site.pooled.name(), site.pooled.entry(1));
+    BOOST_REQUIRE(site.waitUntilServed());
+    const auto broken = [](const RawUpstream& it) {
+        return std::count_if(
+            it.received.begin(), it.received.end(), [](const RawRequest& n) { return n.http.path == "/pool/broken"; });
+    };
+    // More requests at a time than one upstream runs, so that both run some.
+    unsigned number = 0;
+    for (unsigned round = 0; round < 6; ++round) {
+        unsigned answered = 0;
+        for (unsigned n = 0; n < 4; ++n) {
+            ++number;
+            site.client.start(site.call("/pool/broken", "b" + std::to_string(number), number % 2),
+                [&](const HttpOutcome&) { ++answered; });
+        }
+        BOOST_TEST(site.runLoopUntil([&] { return answered == 4; }));
+        site.runLoopFor(Millis(150));
+    }
+    BOOST_TEST(broken(site.pooled) >= 3);
+    BOOST_TEST(broken(second) >= 3);
+    const auto send = [&] { return site.send("/pool/broken", "after" + std::to_string(++number), 0).status; };
+    isBroken = false;
+    BOOST_TEST(send() == 200);
+    BOOST_TEST(send() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/records.h"
 #include "requests/quarantine.h"
 
 #include <boost/test/unit_test.hpp>
@@ -46,4 +47,60 @@
     BOOST_TEST(fingerprintOf(early, kSeed) == fingerprintOf(late, kSeed));
 }
 
+// Guards against a request that is refused because several upstreams that ran it were lost at once.
+BOOST_AUTO_TEST_CASE(runThatBeganBeforeTheLastEndWasKnownIsNoFurtherEvidence)
+{
+    Quarantine quarantine;
+    BOOST_TEST(addsEvidence(quarantine, 7, Millis(100)));
+    addBreak(quarantine, { 7, 1 }, Millis(200));
+    BOOST_TEST(!addsEvidence(quarantine, 7, Millis(150)));
+    BOOST_TEST(!addsEvidence(quarantine, 7, Millis(200)));
+    BOOST_TEST(addsEvidence(quarantine, 7, Millis(201)));
+    BOOST_TEST(addsEvidence(quarantine, 8, Millis(150)));
+}
+
+BOOST_AUTO_TEST_CASE(quarantineEndsAfterItsTime)
+{
+    Quarantine quarantine;
+    addBreak(quarantine, { 7, 1 }, Millis(0));
+    BOOST_TEST(quarantineLeft(quarantine, 7, Millis(0)).count() == 0);
+    addBreak(quarantine, { 7, 2 }, Millis(1000));
+    BOOST_TEST(quarantineLeft(quarantine, 7, Millis(1000)).count() == kQuarantineDuration.count());
+    BOOST_TEST(quarantineLeft(quarantine, 7, Millis(1000) + kQuarantineDuration - Millis(1)).count() == 1);
+    BOOST_TEST(quarantineLeft(quarantine, 7, Millis(1000) + kQuarantineDuration).count() == 0);
+    BOOST_TEST(isSuspect(quarantine, 7));
+    expire(quarantine, Millis(1000) + kQuarantineDuration);
+    BOOST_TEST(!isSuspect(quarantine, 7));
+}
+
+// Guards against memory that callers fill, and against callers who push a quarantined request out with others.
+BOOST_AUTO_TEST_CASE(suspectsAreBoundedAndQuarantinedOnesGoLast)
+{
+    Quarantine quarantine;
+    addBreak(quarantine, { 1, 1 }, Millis(0));
+    addBreak(quarantine, { 1, 2 }, Millis(0));
+    for (std::uint64_t n = 2; n < 2 * kMaxSuspects; ++n)
+        addBreak(quarantine, { n, 1 }, Millis(static_cast<std::int64_t>(n)));
+    BOOST_TEST(quarantine.suspects.size() == kMaxSuspects);
+    BOOST_TEST(isQuarantined(quarantine, 1, Millis(5000)));
+    BOOST_TEST(!isSuspect(quarantine, 2));
+    BOOST_TEST(isSuspect(quarantine, 2 * kMaxSuspects - 1));
+}
+
+BOOST_AUTO_TEST_CASE(recordsAreReadAsWrittenAndOddOnesRefused)
+{
+    std::vector<FieldError> faults;
+    const QuarantineRecord record { { 1, UINT64_MAX }, "GET /x", false };
+    const auto read = decodeQuarantineRecord(encode(record), faults);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->breakIds == record.breakIds));
+    BOOST_TEST(read->request == "GET /x");
+    BOOST_TEST(!read->cleared);
+    for (const char* text : { "", "[]", "{\"breaks\":7}", "{\"breaks\":[7]}", "{\"breaks\":[],\"cleared\":3}" }) {
+        faults.clear();
+        BOOST_TEST(!decodeQuarantineRecord(text, faults).has_value(), text);
+        BOOST_TEST(!faults.empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
