Peers: hosts of different builds keep their links

Cause: decoding throws on an unknown kind, the hub then closes the link, and nothing says what the other host reads.

Change: the Hello says how many kinds its sender reads, and a kind beyond those that every build reads goes only to hosts that do. A host of a build that does not say it counts as reading no more than it has sent itself. Unknown kinds are skipped and counted. Members that were added to the end of a struct have a default if they are missing; all others are still needed.

With the check of the sender, or the skipping, taken out the tests over sockets fail.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -51,7 +51,7 @@
     , bodyBudget(std::make_shared<MemoryBudget>(memoryPart(settings, kRequestBodiesDivisor)))
     , http(memoryPart(settings, kAnswerBodyDivisor), memoryPart(settings, kAnswerBodiesDivisor))
     , directory(settings, adapter, http, incarnation)
-    , hub(settings.peers, Hello { settings.host, incarnation, false }, std::move(handlers),
+    , hub(settings.peers, Hello { settings.host, incarnation, false, kMessageKinds }, std::move(handlers),
           memoryPart(settings, kBacklogDivisor))
 {
 }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -37,6 +37,8 @@
         { "pistachiospur_store_failures_total", "counter", "store calls that failed" },
         { "pistachiospur_plan_writes_total", "counter", "conditional writes of the planner, by kind and result" },
         { "pistachiospur_peer_messages_total", "counter", "messages sent to other hosts, by kind" },
+        { "pistachiospur_peer_messages_skipped_total", "counter",
+            "messages received of kinds that only later builds know" },
         { "pistachiospur_peer_bytes_total", "counter", "bytes of messages sent to other hosts, by kind" },
         { "pistachiospur_configuration_faults", "gauge",
             "parts of the configuration in force that this version cannot read" },
--- a/src/peers/codec.h
+++ b/src/peers/codec.h
@@ -71,10 +71,21 @@
         counts.emplace_back(numberIn<std::uint32_t>(it.at(0)), numberIn<std::uint32_t>(it.at(1)));
 }
 
-template <typename... Members> void unpack(const nlohmann::json& j, Members&... members)
+// Members at the end of a struct that builds before them do not send. They keep their default if they are missing;
+// members behind the last one that is known are ignored.
+template <typename Struct> constexpr std::size_t kAddedMembers = 0;
+template <> inline constexpr std::size_t kAddedMembers<Hello> = 1;
+
+template <std::size_t added = 0, typename... Members> void unpack(const nlohmann::json& j, Members&... members)
 {
     std::size_t n = 0;
-    (readMember(j.at(n++), members), ...);
+    const auto readNext = [&](auto& member) {
+        const bool mayBeMissing = n + added >= sizeof...(Members);
+        if (!mayBeMissing || n < j.size())
+            readMember(j.at(n), member);
+        ++n;
+    };
+    (readNext(members), ...);
 }
 
 } // namespace pistachiospur
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kMaxQueuedFrames = 10000;
 // Ids that a link keeps: one for each proof, at most one a second. A request is over before its id is dropped.
 constexpr std::size_t kMaxLinkIds = 32;
+constexpr std::size_t kMaxLoggedKinds = 100; // of messages that only later builds know
 
 } // namespace
 
@@ -102,9 +103,22 @@
     traffic.bytes += frame.size();
 }
 
+bool PeerHub::isReadBy(const HostName& host, const Message& message) const
+{
+    if (message.index() < kBaselineKinds)
+        return true;
+    const auto known = m_kindsRead.find(host);
+    return known != m_kindsRead.end() && message.index() < known->second;
+}
+
 // A relayed request must not be sent into a connection that has gone silent, since it could then not be sent again.
 std::optional<LinkId> PeerHub::send(const HostName& to, const Message& message, Lane lane)
 {
+    if (!isReadBy(to, message)) {
+        if (!isLinked(to))
+            openOutgoing({ to, lane });
+        return std::nullopt;
+    }
     const std::string frame = encode(message);
     countSent(message, frame);
     const bool isRequest = std::holds_alternative<Relay>(message);
@@ -121,6 +135,8 @@
     if (found == m_links.end())
         return false;
     Link& link = **found;
+    if (!isReadBy(link.peer, message))
+        return false;
     const std::string frame = encode(message);
     countSent(message, frame);
     if (link.isOpen()) {
@@ -139,6 +155,11 @@
 {
     const std::string frame = encode(message);
     for (const auto& host : to) {
+        if (!isReadBy(host, message)) {
+            if (!isLinked(host))
+                openOutgoing({ host, Lane::control });
+            continue;
+        }
         countSent(message, frame);
         sendFrame({ host, Lane::control }, frame, false);
     }
@@ -157,21 +178,36 @@
     return link.ids.back();
 }
 
+bool PeerHub::isLinked(const HostName& host) const
+{
+    return std::any_of(m_links.begin(), m_links.end(), [&](const auto& it) { return it->peer == host; });
+}
+
+// The outgoing link, opened if there is none; null if the host's endpoint is not known.
+PeerHub::Outgoing* PeerHub::openOutgoing(const LinkKey& key)
+{
+    Outgoing& out = m_outgoing[key];
+    if (out.link)
+        return &out;
+    const auto endpoint = m_handlers.findEndpoint(key.first);
+    if (!endpoint) {
+        m_outgoing.erase(key);
+        return nullptr;
+    }
+    out.link = addLink(Link::connect(*endpoint, linkHandlers(), m_maxBacklogBytes));
+    out.link->peer = key.first;
+    out.link->isBulk = key.second == Lane::bulk;
+    return &out;
+}
+
 std::optional<LinkId> PeerHub::sendFrame(const LinkKey& key, const std::string& frame, bool proven)
 {
     if (Link* link = openLinkTo(key))
         return sendOn(*link, frame, proven);
-    Outgoing& out = m_outgoing[key];
-    if (!out.link) {
-        const auto endpoint = m_handlers.findEndpoint(key.first);
-        if (!endpoint) {
-            m_outgoing.erase(key);
-            return std::nullopt;
-        }
-        out.link = addLink(Link::connect(*endpoint, linkHandlers(), m_maxBacklogBytes));
-        out.link->peer = key.first;
-        out.link->isBulk = key.second == Lane::bulk;
-    }
+    Outgoing* opened = openOutgoing(key);
+    if (!opened)
+        return std::nullopt;
+    Outgoing& out = *opened;
     if (out.queued.size() >= kMaxQueuedFrames || out.queuedBytes + frame.size() > m_maxBacklogBytes)
         return std::nullopt;
     out.queued.push_back(frame);
@@ -197,6 +233,12 @@
 void PeerHub::onFrame(Link& link, const std::string& frame)
 {
     auto message = decode(frame);
+    if (const auto kind = message ? std::nullopt : unknownKind(frame)) {
+        if (m_unknownKinds.size() < kMaxLoggedKinds && m_unknownKinds.insert({ link.peer, *kind }).second)
+            logEvent(EventKind::state, "message_unknown", { { "peer", link.peer }, { "kind", *kind } });
+        ++m_skipped;
+        return;
+    }
     if (!message) {
         logEvent(EventKind::state, "message_refused", { { "peer", link.peer }, { "bytes", frame.size() } });
         link.close();
@@ -209,11 +251,17 @@
             return;
         }
         link.peer = hello->host;
+        m_kindsRead[link.peer] = std::max(kBaselineKinds, hello->kinds);
         if (!outgoing) {
             link.isBulk = hello->isBulk;
             m_incoming[{ link.peer, link.isBulk ? Lane::bulk : Lane::control }] = &link;
         }
     }
+    // A build that does not say what it reads reads at least what it sends.
+    if (!link.peer.empty()) {
+        std::size_t& kinds = m_kindsRead[link.peer];
+        kinds = std::max(kinds, message->index() + 1);
+    }
     if (std::holds_alternative<RelayReply>(*message) || std::holds_alternative<RelayTurn>(*message)) {
         const auto due = m_repliesDue.find(link.peer);
         if (due != m_repliesDue.end() && --due->second == 0)
@@ -242,6 +290,9 @@
     const auto it = std::find_if(m_links.begin(), m_links.end(), [&](const auto& n) { return n.get() == &link; });
     if (it != m_links.end())
         m_closed.splice(m_closed.end(), m_links, it);
+    // The host may come back with another build.
+    if (!isLinked(lost.host))
+        m_kindsRead.erase(lost.host);
     m_deleteTimer.once(Millis(0));
     if (!lost.host.empty() && m_handlers.onLost)
         m_handlers.onLost(lost);
@@ -249,6 +300,7 @@
 
 void publishTraffic(Metrics& metrics, const PeerHub& hub)
 {
+    metrics.raise("pistachiospur_peer_messages_skipped_total", {}, static_cast<double>(hub.skipped()));
     for (std::size_t kind = 0; kind < hub.sent().size(); ++kind) {
         const auto& traffic = hub.sent()[kind];
         if (traffic.messages == 0)
--- a/src/peers/hub.h
+++ b/src/peers/hub.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 // All links between this host and other hosts. The hub opens links when they are needed and delivers each decoded
@@ -61,10 +62,15 @@
     // Sends one message to several hosts. It is encoded only once.
     void send(const std::vector<HostName>& to, const Message&);
     std::size_t linkCount() const { return m_links.size(); }
+    // Whether a host is known to read a message. If it is not, send() opens a link and does not send the message; the
+    // host's Hello tells what it reads.
+    bool isReadBy(const HostName&, const Message&) const;
     struct Traffic {
         std::uint64_t messages = 0;
         std::uint64_t bytes = 0;
     };
+    // Messages received of kinds that only later builds know.
+    std::uint64_t skipped() const { return m_skipped; }
     // What was sent, by the message's index in Message.
     const std::array<Traffic, std::variant_size_v<Message>>& sent() const { return m_sent; }
     std::uint16_t port() const { return m_port; }
@@ -86,6 +92,8 @@
     void onFrame(Link&, const std::string& frame);
     void onClose(Link&);
     Link* openLinkTo(const LinkKey&);
+    Outgoing* openOutgoing(const LinkKey&);
+    bool isLinked(const HostName&) const;
     LinkId sendOn(Link&, const std::string& frame, bool proven);
     std::optional<LinkId> sendFrame(const LinkKey&, const std::string& frame, bool proven);
     void countSent(const Message&, const std::string& frame);
@@ -104,6 +112,9 @@
     std::map<LinkKey, Outgoing> m_outgoing;
     std::map<LinkKey, Link*> m_incoming; // the newest incoming link of each host and lane
     std::map<HostName, unsigned> m_repliesDue; // replies to relayed requests, by host
+    std::map<HostName, std::size_t> m_kindsRead; // kinds of messages that a linked host reads
+    std::set<std::pair<HostName, std::uint64_t>> m_unknownKinds; // logged
+    std::uint64_t m_skipped = 0;
     LinkId m_nextLink = 1;
     std::array<Traffic, std::variant_size_v<Message>> m_sent {};
 };
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -14,7 +14,7 @@
     }                                                                                                                  \
     static void from_json(const Json& j, Type& it)                                                                     \
     {                                                                                                                  \
-        std::apply([&j](auto&... m) { unpack(j, m...); }, __VA_ARGS__);                                                \
+        std::apply([&j](auto&... m) { unpack<kAddedMembers<Type>>(j, m...); }, __VA_ARGS__);                           \
     }
 
 PISTACHIOSPUR_WIRE(Rumour, std::tie(it.host, it.incarnation, it.state))
@@ -77,7 +77,7 @@
     it = std::move(answer);
 }
 
-PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation, it.isBulk))
+PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation, it.isBulk, it.kinds))
 PISTACHIOSPUR_WIRE(Heartbeat,
     std::tie(it.incarnation, it.leaving, it.ready, it.isReply, it.revision, it.listDigest, it.rumours, it.suspicions))
 PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since))
@@ -159,4 +159,13 @@
     }
 }
 
+std::optional<std::uint64_t> unknownKind(const std::string& bytes)
+{
+    const Json envelope = parseCbor(bytes);
+    if (!envelope.is_array() || envelope.size() < 2)
+        return std::nullopt;
+    const auto kind = integerIn<std::uint64_t>(envelope[0]);
+    return kind && *kind >= kMessageKinds ? kind : std::nullopt;
+}
+
 } // namespace pistachiospur
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -14,14 +14,20 @@
 #include <variant>
 #include <vector>
 
-// The messages between hosts. Each one is encoded in CBOR and sent as one WebSocket frame.
+// The messages between hosts. Each one is encoded in CBOR and sent as one WebSocket frame. Hosts of several builds run
+// side by side: new kinds go to the end of Message, and new members to the end of their struct (kAddedMembers in
+// codec.h).
 namespace pistachiospur {
 
+// Kinds that every build reads. A host that does not say more in its Hello gets no others.
+constexpr std::size_t kBaselineKinds = 23;
+
 // The first message on each link, in both directions.
 struct Hello {
     HostName host;
     Incarnation incarnation;
     bool isBulk = false; // the link carries bodies; the sender has another one for short messages
+    std::size_t kinds = kBaselineKinds; // of messages that the sender reads, from the first of Message on
 };
 
 // Sent at intervals to a few hosts, and once in reply to each such heartbeat. Carries gossip about hosts and about
@@ -197,11 +203,17 @@
     LoadReport, RangeUpdate, HostLeaving, LeaderAnnouncement, LeaderSteppedDown, WatchUpdate, RelayTurn, RelayTurnOver,
     UpstreamDeparture, ReachReport>;
 
+// The kinds of messages that this build reads.
+constexpr std::size_t kMessageKinds = std::variant_size_v<Message>;
+static_assert(std::is_same_v<std::variant_alternative_t<kBaselineKinds, Message>, ReachReport>);
+
 // The name of a kind of message, by its index in Message, for metrics.
 const char* messageKind(std::size_t index);
 
 std::string encode(const Message&);
 // Returns nothing if the bytes are not exactly one well-formed message.
 std::optional<Message> decode(const std::string& bytes);
+// The kind of a well-formed message that only later builds know; nothing for any other bytes.
+std::optional<std::uint64_t> unknownKind(const std::string& bytes);
 
 } // namespace pistachiospur
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -31,8 +31,9 @@
     std::vector<LostLink> lost;
     PeerHub hub;
 
-    explicit Host(const HostName& name)
-        : hub({ "127.0.0.1", 0 }, Hello { name, { 1 }, false },
+    // `kinds` is what it says that it reads.
+    explicit Host(const HostName& name, std::size_t kinds = kMessageKinds)
+        : hub({ "127.0.0.1", 0 }, Hello { name, { 1 }, false, kinds },
             { [this](const HostName&, LinkId, Message message) { received.push_back(std::move(message)); },
                 [this](const LostLink& link) { lost.push_back(link); },
                 [this](const HostName& host) -> std::optional<Endpoint> {
@@ -169,4 +170,48 @@
     BOOST_TEST(a.lost.empty());
 }
 
+// Guards against links that hosts of two builds close again and again: one sends what the other does not read.
+BOOST_AUTO_TEST_CASE(hostOfAnEarlierBuildGetsNoMessageThatItDoesNotRead)
+{
+    Host earlier("earlier", kBaselineKinds), host("host"), other("other");
+    host.endpoints
+        = { { "earlier", { "127.0.0.1", earlier.hub.port() } }, { "other", { "127.0.0.1", other.hub.port() } } };
+    const ReachReport report { { "s" }, {} };
+    host.hub.send(std::vector<HostName> { "earlier", "other" }, report);
+    BOOST_TEST(runLoopUntil([&] { return host.count<Hello>() == 2; }));
+    BOOST_TEST(!host.hub.send("earlier", report).has_value());
+    BOOST_TEST(host.hub.send("other", report).has_value());
+    BOOST_TEST(host.hub.send("earlier", HostLeaving { { 1 } }).has_value());
+    BOOST_TEST(runLoopUntil([&] { return other.count<ReachReport>() == 1 && earlier.count<HostLeaving>() == 1; }));
+    BOOST_TEST(earlier.count<ReachReport>() == 0u);
+    BOOST_TEST(host.lost.empty());
+    // It has sent such a message itself, so it reads them.
+    earlier.endpoints = { { "host", { "127.0.0.1", host.hub.port() } } };
+    BOOST_TEST(earlier.hub.send("host", report).has_value());
+    BOOST_TEST(runLoopUntil([&] { return host.count<ReachReport>() == 1; }));
+    BOOST_TEST(host.hub.send("earlier", report).has_value());
+    BOOST_TEST(runLoopUntil([&] { return earlier.count<ReachReport>() == 1; }));
+}
+
+// Guards against a link that closes because the other host is of a later build.
+BOOST_AUTO_TEST_CASE(messageOfALaterBuildIsSkippedAndTheLinkGoesOn)
+{
+    Host host("host");
+    bool isOpen = false;
+    const std::string later = { '\x82', '\x18', '\x63', '\x81', '\x01' }; // [99, [1]]
+    const auto link = Link::connect({ "127.0.0.1", host.hub.port() },
+        { [&](Link& it) {
+             it.send(encode(Hello { "later", { 1 }, false, kMessageKinds + 9 }), false);
+             it.send(later, false);
+             it.send(encode(HostLeaving { { 1 } }), false);
+             isOpen = true;
+         },
+            [](Link&, const std::string&) {}, [](Link&) {} },
+        kDefaultMaxBacklogBytes);
+    BOOST_TEST(runLoopUntil([&] { return isOpen && host.count<HostLeaving>() == 1; }));
+    BOOST_TEST(host.hub.skipped() == 1u);
+    BOOST_TEST(host.lost.empty());
+    BOOST_TEST(link->isOpen());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
