Quarantine: an end that is found while the record before is being written is written next

What callers would see: one host refuses a request that ended two upstreams, and the others pass it on to a third.

Cause: after a write all its requests counted as published, also those of which another end had been found since the write began; more likely the slower the store is.

Change: a request is taken off the list of those to be written when its write begins, and put back if the write fails.

--- a/src/gateway/quarantine_monitor.cpp
+++ b/src/gateway/quarantine_monitor.cpp
@@ -290,6 +290,9 @@
         write.expected.push_back({ key, details.version });
         write.puts.push_back({ key, text, text ? m_lease : kNoLease });
     }
+    // What is found from here on is written next.
+    for (const auto fingerprint : written)
+        m_unpublished.erase(fingerprint);
     const auto onResult = [this, written](const WriteResult& result) { onWritten(written, result); };
     if (write.puts.empty())
         return onResult(Written {});
@@ -299,6 +302,8 @@
 void QuarantineMonitor::onWritten(const std::vector<std::uint64_t>& fingerprints, const WriteResult& result)
 {
     m_callPending = false;
+    if (!std::holds_alternative<Written>(result))
+        m_unpublished.insert(fingerprints.begin(), fingerprints.end());
     if (const auto* conflict = std::get_if<WriteConflict>(&result)) {
         m_nextCallAt = monotonicNow() + kConflictDelay;
         for (const auto& it : conflict->current)
@@ -311,7 +316,6 @@
         return m_context.directory.recordStoreFailure("quarantine", *error);
     }
     for (const auto it : fingerprints) {
-        m_unpublished.erase(it);
         m_details[it].version = isSuspect(m_context.quarantine, it) || m_details[it].cleared
             ? std::get<Written>(result).revision
             : StoreRevision {};
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -49,6 +49,8 @@
         BOOST_TEST(runLoopUntil([&] { return m_open == 0; }));
     }
 
+    void sendSoundRequests() { m_soundTraffic.every(kRoundInterval); }
+
     void sendCopy(std::size_t host) { start(m_poison, kSlot, host, true); }
 
     HttpAnswer answerToCopy(std::size_t host)
@@ -68,6 +70,17 @@
             std::count_if(m_ends.begin(), m_ends.end(), [&](Millis it) { return it > from; }));
     }
 
+    // How many ends of upstreams a host knows of.
+    std::size_t knownEnds(std::size_t host)
+    {
+        HttpCall status;
+        status.endpoint = adminEndpoints[host];
+        status.method = "GET";
+        status.target = "/status";
+        const Json listed = Json::parse(sendCall(status).body).at("quarantine");
+        return listed.empty() ? 0 : listed[0].at("upstreams_ended").get<std::size_t>();
+    }
+
     // Sends copies until so many upstreams have ended.
     bool endUpstreamsOneByOne(std::size_t n)
     {
@@ -122,12 +135,17 @@
         });
     }
 
-    void sendRound()
+    void sendSound()
     {
         ++m_round;
         const char* other = m_poison.find("/pool/") == 0 ? "/pool/x" : "/get/x";
         for (std::size_t host = 0; host < gateways.size(); ++host)
             start(other, (m_round * 7919 + static_cast<unsigned>(host) * 104729) % kKeySlots, host, false);
+    }
+
+    void sendRound()
+    {
+        sendSound();
         if (m_round % kRoundsPerCopy == 0)
             sendCopy(m_round / kRoundsPerCopy % gateways.size());
     }
@@ -163,6 +181,7 @@
     std::string m_poison;
     Timer m_watch { [this] { endUpstreams(); } };
     Timer m_traffic { [this] { sendRound(); } };
+    Timer m_soundTraffic { [this] { sendSound(); } };
     HttpClient m_callers { 1u << 20 };
     std::vector<Millis> m_ends; // of upstreams, each by one copy
     std::vector<Return> m_returns;
@@ -218,6 +237,27 @@
     BOOST_TEST(site.ends() == ends);
 }
 
+// Guards against an end that other hosts never hear of because it was found while the record of the one before was
+// being written.
+BOOST_AUTO_TEST_CASE(endThatIsFoundDuringAWriteReachesTheOtherHosts)
+{
+    CrashSite site("/pool/poison");
+    for (std::size_t n = 0; n < 3; ++n)
+        BOOST_REQUIRE(site.waitUntilServed(n));
+    site.sendSoundRequests();
+    site.store.holds = [](const HttpRequest& call) {
+        return call.path == "/kv-txn" && call.body.find("pistachiospur/quarantine/") != std::string::npos;
+    };
+    BOOST_REQUIRE(site.endUpstreamsOneByOne(1));
+    BOOST_REQUIRE(site.runLoopUntil([&] { return site.store.heldCalls() == 1; }));
+    BOOST_REQUIRE(site.endUpstreamsOneByOne(2));
+    BOOST_TEST(site.runLoopUntil([&] { return site.knownEnds(0) == 2; }));
+    site.store.holds = nullptr;
+    site.store.releaseHeld();
+    site.runLoopUntil([] { return false; }, Millis(1500));
+    BOOST_TEST(site.answerToCopy(2).body == "quarantined");
+}
+
 // Guards against a quarantine that an operator cannot end, or ends at one host only.
 BOOST_AUTO_TEST_CASE(quarantineThatAnOperatorClearsEndsAtAllHosts)
 {
