Logs: lines about the process outlast a flood and a reader that stalls

Whether a host lacked a version, or only the line that says so, could not be told apart.

Cause: lines about the configuration, the copy of the store and leadership shared one limit with those about single upstreams, peers and links, and any line was dropped while standard output was not writable.

Change: they are a kind of their own with a limit of their own, and up to 100 of them are kept while standard output takes none. Each host logs when its copy becomes older than a change may take to be in force (copy_outdated) and when it no longer is (copy_current), and has a gauge of how many revisions it is behind what its watching host announced.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -88,7 +88,7 @@
               [this] {
                   m_hostEntryWritten = false;
                   m_hostEntryVersion = {};
-                  logEvent(EventKind::state, "lease_ended", {});
+                  logEvent(EventKind::process, "lease_ended", {});
               },
               [this](const StoreError& error) { onStoreFailure("lease", error); } })
 {
@@ -121,7 +121,7 @@
     }
     auto& snapshot = std::get<Snapshot>(result);
     if (snapshot.revision < m_known.completeTo)
-        logEvent(EventKind::state, "read_outdated",
+        logEvent(EventKind::process, "read_outdated",
             { { "revision", textOf(snapshot.revision) }, { "known", textOf(m_known.completeTo) } });
     if (m_known.completeTo == StoreRevision {})
         m_firstEra = m_store->era();
@@ -155,7 +155,7 @@
             if (!m_watching)
                 return;
             if (error.historyLost) {
-                logEvent(EventKind::state, "store_history_lost", { { "after", textOf(m_known.completeTo) } });
+                logEvent(EventKind::process, "store_history_lost", { { "after", textOf(m_known.completeTo) } });
                 const Millis now = monotonicNow();
                 if (now - std::exchange(m_historyLostAt, now) < kStoreRetryDelay)
                     m_readRetryTimer.once(kStoreRetryDelay);
@@ -173,7 +173,7 @@
 {
     if (std::exchange(m_watching, watching) == watching)
         return;
-    logEvent(EventKind::state, watching ? "watching_store" : "following_another_host", {});
+    logEvent(EventKind::process, watching ? "watching_store" : "following_another_host", {});
     if (!watching)
         m_store->stopWatch();
     else
@@ -185,7 +185,7 @@
     if (m_watching)
         return;
     if (hasGap(m_known, batch)) {
-        logEvent(EventKind::state, "changes_missed",
+        logEvent(EventKind::process, "changes_missed",
             { { "revision", textOf(m_known.completeTo) }, { "from", textOf(batch.from) }, { "to", textOf(batch.to) },
                 { "age_ms", this->age().count() } });
         return readAll();
@@ -208,7 +208,7 @@
         return;
     const Millis grace = std::min(kEntryReturnTime, Millis(m_settings.limits.drainMs) - kDrainMargin);
     m_lapseGraceEnd = monotonicNow() + grace;
-    logEvent(EventKind::state, "store_outage", { { "away_ms", away.count() }, { "lapse_grace_ms", grace.count() } });
+    logEvent(EventKind::process, "store_outage", { { "away_ms", away.count() }, { "lapse_grace_ms", grace.count() } });
 }
 
 Millis Directory::lapseGrace() const { return std::max(Millis(0), m_lapseGraceEnd - monotonicNow()); }
@@ -219,8 +219,8 @@
 {
     if (m_reading)
         return;
-    logEvent(
-        EventKind::state, "reading_alone", { { "revision", textOf(m_known.completeTo) }, { "age_ms", age().count() } });
+    logEvent(EventKind::process, "reading_alone",
+        { { "revision", textOf(m_known.completeTo) }, { "age_ms", age().count() } });
     readConfiguration();
     readAll();
 }
@@ -294,7 +294,7 @@
 void Directory::onStoreFailure(const char* call, const StoreError& error)
 {
     if (std::exchange(m_storeReachable, false))
-        logEvent(EventKind::state, "store_lost",
+        logEvent(EventKind::process, "store_lost",
             { { "call", call }, { "status", error.httpStatus }, { "waited_ms", error.waited.count() },
                 { "revision", textOf(m_known.completeTo) } });
 }
@@ -302,7 +302,7 @@
 void Directory::onStoreAnswer()
 {
     if (!std::exchange(m_storeReachable, true))
-        logEvent(EventKind::state, "store_reached", { { "revision", textOf(m_known.completeTo) } });
+        logEvent(EventKind::process, "store_reached", { { "revision", textOf(m_known.completeTo) } });
 }
 
 // Applies a change that has been merged into the known versions.
@@ -335,25 +335,25 @@
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(table, m_adapter.decodeConfiguration(text));
             if (m_routes && table.version < m_routes->version) {
-                logEvent(EventKind::state, "configuration_refused",
+                logEvent(EventKind::process, "configuration_refused",
                     { { "version", table.version.value }, { "in_force", m_routes->version.value },
                         { "reason", "older than the configuration in force" } });
                 return {};
             }
             m_routes = std::move(table);
-            logEvent(EventKind::state, "configuration",
+            logEvent(EventKind::process, "configuration",
                 { { "version", m_routes->version.value }, { "faults", m_routes->faults.size() },
                     { "age_ms", age().count() } });
             logFaults(m_routes->faults);
             return {};
         },
         [&](const DocumentError& error) {
-            logEvent(EventKind::state, "configuration_refused",
+            logEvent(EventKind::process, "configuration_refused",
                 { { "reason", error.faults.empty() ? "not a JSON object" : describe(error.faults.front()) },
                     { "faults", error.faults.size() }, { "in_force", m_routes ? m_routes->version.value : 0 } });
         },
         [] {
-            logEvent(EventKind::state, "configuration_refused", { { "reason", "unknown" } });
+            logEvent(EventKind::process, "configuration_refused", { { "reason", "unknown" } });
         });
 }
 
--- a/src/gateway/election.cpp
+++ b/src/gateway/election.cpp
@@ -154,7 +154,7 @@
     m_leaderSince = bootNow();
     m_unsettledText.clear();
     m_storedTable.reset();
-    logEvent(EventKind::state, "leading",
+    logEvent(EventKind::process, "leading",
         { { "service", m_service }, { "keeper_revision", textOf(version) }, { "carries_over", carriesOver } });
     if (carriesOver)
         carryOver();
@@ -211,7 +211,7 @@
 
 void RangeLeader::stepDown(const char* reason)
 {
-    logEvent(EventKind::state, "not_leading", { { "service", m_service }, { "reason", reason } });
+    logEvent(EventKind::process, "not_leading", { { "service", m_service }, { "reason", reason } });
     m_isLeader = false;
     m_carriesOver = false;
     m_tableWritten = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,9 +100,9 @@
     setEventHost(settings.host);
     setCallbackErrorHandler([this](const char* what) {
         m_context.metrics.count("pistachiospur_callback_errors_total");
-        logEvent(EventKind::state, "callback_failed", { { "error", what } });
+        logEvent(EventKind::process, "callback_failed", { { "error", what } });
     });
-    logEvent(EventKind::state, "start",
+    logEvent(EventKind::process, "start",
         { { "callers", settings.callers.text() }, { "peers", settings.peers.text() },
             { "store", settings.store.text() }, { "incarnation", m_context.incarnation.value } });
     m_context.directory.start([this] { onDirectoryChange(); });
@@ -141,6 +141,7 @@
 
 void Gateway::tick()
 {
+    flushEvents();
     m_context.directory.tick();
     m_watcher.tick();
     m_reachMonitor.tick();
@@ -396,6 +397,7 @@
     m_context.metrics.set("pistachiospur_config_revision", {},
         directory.routes() ? static_cast<double>(directory.routes()->version.value) : 0);
     m_context.metrics.set("pistachiospur_copy_age_seconds", {}, static_cast<double>(directory.age().count()) / 1000);
+    m_context.metrics.set("pistachiospur_copy_revisions_behind", {}, static_cast<double>(m_watcher.revisionsBehind()));
     m_context.metrics.set(
         "pistachiospur_store_revision", {}, static_cast<double>(counterOf(directory.revision()).value));
     m_context.metrics.set("pistachiospur_hosts_alive", {}, static_cast<double>(directory.hosts().size()));
@@ -420,7 +422,7 @@
 {
     if (m_context.stopping)
         return;
-    logEvent(EventKind::state, "stop", { { "open_requests", m_frontend.pendingCount() } });
+    logEvent(EventKind::process, "stop", { { "open_requests", m_frontend.pendingCount() } });
     m_context.stopping = true;
     m_context.stop = planStop(monotonicNow(), Millis(m_context.settings.limits.graceMs));
     m_context.directory.publishLeaving();
@@ -451,7 +453,7 @@
     if (late ? sending : !(idle && (m_leaseEnded || leaseEndTimedOut)))
         return;
     m_stopTimer.stop();
-    logEvent(EventKind::state, "stopped", { { "open_requests", m_frontend.pendingCount() } });
+    logEvent(EventKind::process, "stopped", { { "open_requests", m_frontend.pendingCount() } });
     m_stopped = true;
     breakLoop();
 }
@@ -464,17 +466,18 @@
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(text, readFile(m_settingsPath));
             BOOST_LEAF_CHECK(parseGatewaySettings(text, m_settingsPath));
-            logEvent(EventKind::state, "settings_checked", { { "outcome", "valid; takes effect at the next start" } });
+            logEvent(
+                EventKind::process, "settings_checked", { { "outcome", "valid; takes effect at the next start" } });
             return {};
         },
         [](const DocumentError& error) {
-            logEvent(EventKind::state, "settings_checked", { { "outcome", describe(error.faults.front()) } });
+            logEvent(EventKind::process, "settings_checked", { { "outcome", describe(error.faults.front()) } });
         },
         [](const FileError& error) {
-            logEvent(EventKind::state, "settings_checked", { { "outcome", describe(error) } });
+            logEvent(EventKind::process, "settings_checked", { { "outcome", describe(error) } });
         },
         [] {
-            logEvent(EventKind::state, "settings_checked", { { "outcome", "unexpected error" } });
+            logEvent(EventKind::process, "settings_checked", { { "outcome", "unexpected error" } });
         });
 }
 
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -429,7 +429,7 @@
     m_unknownGrantsEnd = stored ? stored->receivedAt + stored->table.unknownGrantsFor : Millis(0);
     if (!isLatest) {
         m_unknownGrantsEnd = std::max(m_unknownGrantsEnd, unknownGrantsEnd());
-        logEvent(EventKind::state, "table_of_earlier_era",
+        logEvent(EventKind::process, "table_of_earlier_era",
             { { "service", m_service }, { "era", m_era.value }, { "table_era", eraOf(m_tableRevision).value },
                 { "wait_ms", (m_unknownGrantsEnd - bootNow()).count() } });
     }
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -86,6 +86,26 @@
         watch(now);
     else
         follow(now);
+    noteAge();
+}
+
+// Logs when the copy becomes older than a change may take to be in force, and when it is up to date again.
+void StoreWatcher::noteAge()
+{
+    const Directory& directory = m_context.directory;
+    const bool isOutdated
+        = directory.age() >= partOfChangeTime(m_context, 100) && directory.revision() != StoreRevision {};
+    if (std::exchange(m_outdated, isOutdated) == isOutdated)
+        return;
+    logEvent(EventKind::process, isOutdated ? "copy_outdated" : "copy_current",
+        { { "revision", textOf(directory.revision()) }, { "revisions_behind", revisionsBehind() },
+            { "age_ms", directory.age().count() } });
+}
+
+std::uint64_t StoreWatcher::revisionsBehind() const
+{
+    const StoreRevision own = m_context.directory.revision();
+    return eraOf(own) == eraOf(m_announced) && own < m_announced ? m_announced.value - own.value : 0;
 }
 
 bool isOwnReadDue(const OwnReadTimes& times, Millis changeTime, Millis readTimeout, Millis now)
@@ -131,7 +151,7 @@
 void StoreWatcher::markFailed(const HostName& host, const char* reason)
 {
     m_failedUntil[host] = monotonicNow() + kFailedWatchPause;
-    logEvent(EventKind::state, "watch_lost", { { "watcher", host }, { "reason", reason } });
+    logEvent(EventKind::process, "watch_lost", { { "watcher", host }, { "reason", reason } });
 }
 
 std::vector<HostName> StoreWatcher::followers() const
@@ -168,6 +188,7 @@
     m_failedUntil.erase(from);
     if (from == m_watchHost)
         m_lastHeardAt = monotonicNow();
+    m_announced = std::max(m_announced, update.batch.to);
     m_context.directory.applyRelayedBatch(update.batch, update.age, update.lapseGrace);
     readMissedTables(update);
 }
--- a/src/gateway/watcher.h
+++ b/src/gateway/watcher.h
@@ -30,9 +30,12 @@
 
     void tick();
     void onWatchUpdate(const HostName& from, const WatchUpdate&);
+    // How many revisions this host's copy is behind the latest that a watching host has announced.
+    std::uint64_t revisionsBehind() const;
 
 private:
     bool isStoreAnswering() const;
+    void noteAge();
     void follow(Millis now);
     void watch(Millis now);
     bool hasOtherHosts(Millis now) const;
@@ -47,6 +50,8 @@
     Millis m_lastHeardAt {}; // last update from m_watchHost, or the time when it was chosen
     std::map<HostName, Millis> m_failedUntil; // hosts passed over until then because their watch failed
     Millis m_nextHeartbeatAt {};
+    StoreRevision m_announced; // the latest of a watching host
+    bool m_outdated = false; // the copy is older than a change may take to be in force
     std::map<ServiceName, Millis> m_behindSince; // by service of which the watching host has a newer table
 };
 
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <deque>
 #include <poll.h>
 #include <unistd.h>
 
@@ -15,6 +16,8 @@
 // second.
 constexpr double kStateLinesPerSecond = 100, kStateBurstLines = 1000;
 constexpr double kRequestLinesPerSecond = 100, kRequestBurstLines = 500;
+constexpr double kProcessLinesPerSecond = 20, kProcessBurstLines = 200;
+constexpr std::size_t kMaxKeptLines = 100;
 
 struct TokenBucket {
     double tokensPerSecond;
@@ -27,7 +30,9 @@
 std::string hostName;
 std::uint64_t droppedTotal = 0;
 TokenBucket buckets[] = { { kStateLinesPerSecond, kStateBurstLines, kStateBurstLines, Millis(0), 0 },
-    { kRequestLinesPerSecond, kRequestBurstLines, kRequestBurstLines, Millis(0), 0 } };
+    { kRequestLinesPerSecond, kRequestBurstLines, kRequestBurstLines, Millis(0), 0 },
+    { kProcessLinesPerSecond, kProcessBurstLines, kProcessBurstLines, Millis(0), 0 } };
+std::deque<std::string> keptLines; // about the process, while standard output is not writable
 
 bool takeToken(TokenBucket& bucket)
 {
@@ -67,9 +72,21 @@
         line[it.name] = it.value;
     if (bucket.dropped)
         line["dropped_before"] = bucket.dropped;
-    const bool written = writeLine(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
-    bucket.dropped = written ? 0 : bucket.dropped + 1;
-    droppedTotal += !written;
+    std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    flushEvents();
+    bool accepted = keptLines.empty() && writeLine(text);
+    if (!accepted && kind == EventKind::process && text.size() <= PIPE_BUF && keptLines.size() < kMaxKeptLines) {
+        keptLines.push_back(std::move(text));
+        accepted = true;
+    }
+    bucket.dropped = accepted ? 0 : bucket.dropped + 1;
+    droppedTotal += !accepted;
+}
+
+void flushEvents()
+{
+    while (!keptLines.empty() && writeLine(keptLines.front()))
+        keptLines.pop_front();
 }
 
 std::uint64_t droppedEvents() { return droppedTotal; }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -57,6 +57,8 @@
         { "pistachiospur_store_revision", "gauge", "store revision up to which this host has received all changes" },
         { "pistachiospur_copy_age_seconds", "gauge",
             "time since this host's copy of the store is known to have been complete" },
+        { "pistachiospur_copy_revisions_behind", "gauge",
+            "store revisions that this host's copy lacks of the latest that its watching host has announced" },
         { "pistachiospur_owned_slots", "gauge", "slots owned, by upstream" },
         { "pistachiospur_burn_rate", "gauge", "error budget burn rate by service, rank and window" },
     };
