--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -13,6 +13,7 @@
 
 constexpr Millis kTickInterval { 10 };
 constexpr std::size_t kMaxBodyBytes = 8u << 20;
+constexpr Millis kSlowAnswerInterval { 20 };
 
 HttpResponse jsonResponse(int status, const Json& body)
 {
@@ -134,6 +135,43 @@
     m_watches.clear();
 }
 
+KvStandin::Entrance::Entrance(KvStandin& store)
+    : m_store(store)
+    , m_timer([this] { sendSlowAnswers(); })
+    , m_server({ "127.0.0.1", 0 }, kMaxBodyBytes,
+          [this](const HttpRequest& request, const Responder& responder) { onCall(request, responder); })
+{
+    m_timer.every(kSlowAnswerInterval);
+}
+
+void KvStandin::Entrance::onCall(const HttpRequest& request, const Responder& responder)
+{
+    if (fault == StoreFault::refuse)
+        return responder.respond(m_store.withEra({ 503, {}, "" }));
+    if (fault == StoreFault::silent) {
+        m_unanswered.push_back(responder);
+        return;
+    }
+    if (readBytesPerSecond == 0 || request.path != "/kv-range")
+        return m_store.onCall(request, responder);
+    const HttpResponse response = m_store.execute(request);
+    responder.beginStream(response.status, response.headers);
+    m_slowAnswers.push_back({ responder, response.body, 0 });
+}
+
+void KvStandin::Entrance::sendSlowAnswers()
+{
+    for (auto& it : m_slowAnswers) {
+        const std::size_t n = readBytesPerSecond * static_cast<std::size_t>(kSlowAnswerInterval.count()) / 1000;
+        it.responder.write(it.body.substr(it.sent, n));
+        it.sent += std::min(n, it.body.size() - it.sent);
+        if (it.sent == it.body.size())
+            it.responder.finish();
+    }
+    const auto isDone = [](const SlowAnswer& it) { return it.sent == it.body.size() || !it.responder.isOpen(); };
+    m_slowAnswers.erase(std::remove_if(m_slowAnswers.begin(), m_slowAnswers.end(), isDone), m_slowAnswers.end());
+}
+
 void KvStandin::onCall(const HttpRequest& request, const Responder& responder)
 {
     if (fault == StoreFault::refuse)
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -27,6 +27,33 @@
 public:
     KvStandin();
 
+    // An address of the store for one host, with faults that only this host meets.
+    class Entrance {
+    public:
+        explicit Entrance(KvStandin&);
+
+        Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
+
+        StoreFault fault = StoreFault::none; // refuse or silent
+        std::size_t readBytesPerSecond = 0; // at which answers to reads arrive; zero: no limit
+
+    private:
+        struct SlowAnswer {
+            Responder responder;
+            std::string body;
+            std::size_t sent = 0;
+        };
+
+        void onCall(const HttpRequest&, const Responder&);
+        void sendSlowAnswers();
+
+        KvStandin& m_store;
+        std::vector<Responder> m_unanswered;
+        std::vector<SlowAnswer> m_slowAnswers;
+        Timer m_timer;
+        HttpServer m_server;
+    };
+
     Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -100,7 +101,7 @@
     }
 
     void addHost(int n, const PlatformAdapter& adapter = platform::kvPlatformAdapter(), const char* dataCentre = "z1",
-        std::int64_t processorPercent = 100)
+        std::int64_t processorPercent = 100, std::optional<Endpoint> storeEndpoint = std::nullopt)
     {
         GatewaySettings settings;
         settings.host = "h" + std::to_string(n);
@@ -109,7 +110,7 @@
         settings.ready = ports.reserve();
         settings.peers = ports.reserve();
         settings.admin = ports.reserve();
-        settings.store = store.endpoint();
+        settings.store = storeEndpoint.value_or(store.endpoint());
         settings.processorPercent = processorPercent;
         for (const auto& it : gatewayOptions())
             settings.limits.*it.field = it.defaultValue;
