CONFIG: a host whose copy has a gap catches up from any host that knows

Cause: facts reached a host by one way only, the relay of its data centre's watching host. A message that was missed could be made good only by a read of the whole store, so a host that the store turned away, or whose reads timed out, stayed behind whatever its neighbours knew; so did a data centre that was turned away as a whole. Each new watching host read everything and relayed the difference, which fits no copy but one at exactly its earlier revision.

Change: each host keeps the last state of every key (src/store/history) and hands on what another copy lacks: the changes since its revision, or, where deletions may be unknown, the puts since and the names of all keys. A host asks the relay, then hosts of its data centre and of others in turn, when a batch does not follow its copy or the copy gets old (src/gateway/catch_up); it reads the store only after three attempts. A host that takes over the watch watches from its revision instead of reading. What an update spent on its way counts as age: the sender states the time on its own clock, and a request and its answer show what that is on the receiver's. The messages are ReplicaRequest and ReplicaBatch, which every build reads; new members are at the end.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -42,6 +42,7 @@
 // Longer than any grant.
 constexpr Millis kGoneInstanceRetention { 15000 };
 constexpr Millis kMaxRemovalInterval { 5000 };
+constexpr Millis kMinSuspension { 20 }; // shorter ones may be the error of two clocks that are read one after the other
 
 bool beginsWith(const std::string& text, const std::string& prefix)
 {
@@ -75,8 +76,11 @@
     , m_adapter(adapter)
     , m_store(adapter.openStore(http, settings.store, Millis(settings.limits.storeTimeoutMs)))
     , m_incarnation(incarnation)
+    , m_suspendedFor(bootNow() - monotonicNow())
     , m_readRetryTimer([this] {
-        if (m_watching || m_known.completeTo.value == 0)
+        if (m_watching)
+            resumeWatch();
+        else if (m_known.completeTo.value == 0)
             readAll();
     })
     , m_firstWatchTimer([this] {
@@ -125,11 +129,9 @@
             { { "revision", textOf(snapshot.revision) }, { "known", textOf(m_known.completeTo) } });
     if (m_known.completeTo == StoreRevision {})
         m_firstEra = m_store->era();
-    noteOutage(snapshot.revision);
+    noteOutage(snapshot.revision, m_readStartedAt);
     takeTables(snapshot);
-    SnapshotMerge merge = mergeSnapshot(m_known, std::move(snapshot));
-    for (const auto& change : merge.changes)
-        apply(change);
+    const SnapshotMerge merge = mergeRead(std::move(snapshot));
     onStoreAnswer();
     confirm(m_readStartedAt);
     if (m_watching) {
@@ -144,11 +146,28 @@
     m_onChange();
 }
 
-// Watches the store from the current revision. After a failure the whole store is read again instead of resuming the
-// watch: a watch from the last revision may wait without an answer if the store has lost that history, while a read
-// answers as soon as the store is available.
+SnapshotMerge Directory::mergeRead(Snapshot&& snapshot)
+{
+    SnapshotMerge merge = mergeSnapshot(m_known, std::move(snapshot));
+    recordRead(m_history, merge.relay.to);
+    for (const auto& change : merge.changes)
+        apply(change);
+    return merge;
+}
+
+// Watches the store from the revision of the copy. The whole store is read only if there is no copy yet, or the copy is
+// of another era.
+void Directory::resumeWatch()
+{
+    if (m_known.completeTo == StoreRevision {} || eraOf(m_known.completeTo) != m_store->era())
+        return readAll();
+    m_firstWatchScheduled = true;
+    startWatch();
+}
+
 void Directory::startWatch()
 {
+    m_watchStartedAt = monotonicNow();
     m_store->watch(
         m_known.completeTo, [this](const ChangeBatch& batch) { onWatchBatch(batch); },
         [this](const StoreError& error) {
@@ -177,34 +196,48 @@
     if (!watching)
         m_store->stopWatch();
     else
-        readAll();
+        resumeWatch();
 }
 
-void Directory::applyRelayedBatch(const ChangeBatch& batch, Millis age, Millis lapseGrace)
+bool Directory::applyRelayedBatch(const ChangeBatch& batch, std::optional<Millis> age, Millis lapseGrace)
 {
-    if (m_watching)
-        return;
     if (hasGap(m_known, batch)) {
         logEvent(EventKind::process, "changes_missed",
             { { "revision", textOf(m_known.completeTo) }, { "from", textOf(batch.from) }, { "to", textOf(batch.to) },
                 { "age_ms", this->age().count() } });
-        return readAll();
+        return false;
     }
     const Millis now = monotonicNow();
-    confirm(now - age);
-    m_lapseGraceEnd = now + lapseGrace;
+    if (age)
+        confirm(now - *age);
+    if (!m_watching)
+        m_lapseGraceEnd = now + lapseGrace;
     applyBatch(batch);
+    return true;
+}
+
+bool Directory::applyRelayedKeys(KeyList list, Millis age, Millis lapseGrace)
+{
+    if (m_known.completeTo < list.puts.from)
+        return false;
+    const Millis now = monotonicNow();
+    confirm(now - age);
+    if (!m_watching)
+        m_lapseGraceEnd = now + lapseGrace;
+    mergeRead(snapshotFrom(std::move(list), m_known.versions));
+    m_onChange();
+    return true;
 }
 
 // Decides, when the store answers again, whether entries of living upstreams may be missing: they expired while it was
 // away, or it lost them. A failed call alone is no evidence: then other hosts still confirm this host's copy.
-void Directory::noteOutage(StoreRevision read)
+void Directory::noteOutage(StoreRevision answered, Millis startedAt)
 {
-    const Millis away = m_readStartedAt - m_confirmedAt;
+    const Millis away = startedAt - m_confirmedAt;
     const bool isFirstRead = m_known.completeTo == StoreRevision {};
     const bool wasAway
         = !m_storeReachable && away >= kMinOutageHeartbeats * Millis(m_settings.limits.upstreamHeartbeatMs);
-    if (isFirstRead || (!wasAway && eraOf(read) <= eraOf(m_known.completeTo)))
+    if (isFirstRead || (!wasAway && eraOf(answered) <= eraOf(m_known.completeTo)))
         return;
     const Millis grace = std::min(kEntryReturnTime, Millis(m_settings.limits.drainMs) - kDrainMargin);
     m_lapseGraceEnd = monotonicNow() + grace;
@@ -261,6 +294,7 @@
     for (auto it = firstTable; it != batch.changes.end(); ++it)
         applyTable(*it);
     batch.changes.erase(firstTable, batch.changes.end());
+    recordDeletions(m_history, batch);
     for (const auto& it : mergeBatch(m_known, std::move(batch)))
         apply(it);
     if (!isEmpty)
@@ -283,6 +317,7 @@
 
 void Directory::onWatchBatch(const ChangeBatch& batch)
 {
+    noteOutage(batch.to, m_watchStartedAt);
     onStoreAnswer();
     m_watchAnsweredAt = monotonicNow();
     confirm(m_store->watchConfirmedAt());
@@ -308,6 +343,7 @@
 // Applies a change that has been merged into the known versions.
 void Directory::apply(const KeyChange& change)
 {
+    recordChange(m_history, change);
     if (change.key == m_adapter.configurationKey && change.text)
         applyConfiguration(*change.text);
     else if (beginsWith(change.key, m_adapter.upstreamPrefix))
@@ -423,8 +459,10 @@
 
 void Directory::recordLeader(const ServiceName& service, LeaderEntry entry)
 {
-    if (mergeRecord(m_known, leaderKey(service), entry.version))
-        setLeader(service, std::move(entry));
+    if (!mergeRecord(m_known, leaderKey(service), entry.version))
+        return;
+    recordChange(m_history, { leaderKey(service), encode(entry), entry.version });
+    setLeader(service, std::move(entry));
 }
 
 void Directory::setLeader(const ServiceName& service, LeaderEntry entry)
@@ -494,6 +532,7 @@
 {
     const Millis now = monotonicNow();
     bool changed = false;
+    noteSuspension();
     m_lease.followEra();
     const bool isOfEarlierEra = m_known.completeTo != StoreRevision {} && eraOf(m_known.completeTo) < m_store->era();
     if (isOfEarlierEra && m_watching && !m_reading && now - m_readStartedAt >= kStoreRetryDelay) {
@@ -528,6 +567,15 @@
         m_onChange();
 }
 
+// The time in which this host was suspended counts as age of its copy, though the monotonic clock leaves it out.
+void Directory::noteSuspension()
+{
+    const Millis suspended = bootNow() - monotonicNow();
+    if (suspended > m_suspendedFor + kMinSuspension)
+        m_confirmedAt -= suspended - m_suspendedFor;
+    m_suspendedFor = suspended;
+}
+
 // A write that the store carries out late must not replace what this host, or its next process, has written since.
 void Directory::writeHostEntry()
 {
@@ -549,7 +597,7 @@
             m_hostEntryVersion = written->revision;
             if (!mergeRecord(m_known, key, written->revision))
                 return;
-            applyHost(m_settings.host, { key, text, written->revision });
+            apply({ key, text, written->revision });
             m_onChange();
         }
     });
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -5,6 +5,7 @@
 #include "observe/events.h"
 #include "records.h"
 #include "settings.h"
+#include "store/history.h"
 #include "store/versions.h"
 
 #include <functional>
@@ -59,10 +60,22 @@
     using QuarantineCallback
         = std::function<void(std::uint64_t fingerprint, const std::optional<QuarantineRecord>&, StoreRevision)>;
     void onQuarantineChange(QuarantineCallback callback) { m_onQuarantineChange = std::move(callback); }
-    // Applies a batch from the host that watches the store. Reads the whole store if changes before the batch are
-    // missing. `age` is the time since the sender's copy held every change of the store, `lapseGrace` what the sender's
-    // lapseGrace() returned.
-    void applyRelayedBatch(const ChangeBatch&, Millis age, Millis lapseGrace);
+    // Applies a batch from another host; returns false, and applies nothing, if changes before it are missing. `age` is
+    // the time since the sender's copy held every change of the store, if this host can tell; `lapseGrace` what the
+    // sender's lapseGrace() returned.
+    bool applyRelayedBatch(const ChangeBatch&, std::optional<Millis> age, Millis lapseGrace);
+    // The same for a host that does not know which keys the copy at `list.puts.from` had.
+    bool applyRelayedKeys(KeyList, Millis age, Millis lapseGrace);
+    // What a copy at revision `since` lacks of this host's copy; nothing if that is not known any more. Without range
+    // tables, as all that is handed on.
+    std::optional<ChangeBatch> changesSince(StoreRevision since) const
+    {
+        return pistachiospur::changesSince(m_history, since, m_known.completeTo);
+    }
+    KeyList keysSince(StoreRevision since) const
+    {
+        return pistachiospur::keysSince(m_history, since, m_known.completeTo);
+    }
     // How much longer an upstream stays in use if its entry is found deleted now. Zero unless the store was away so
     // long that entries of living upstreams may have expired, and has just returned.
     Millis lapseGrace() const;
@@ -126,8 +139,10 @@
     void readAll();
     void readConfiguration();
     void onReadResult(ReadResult);
-    void noteOutage(StoreRevision read);
+    SnapshotMerge mergeRead(Snapshot&&);
+    void noteOutage(StoreRevision answered, Millis startedAt);
     void confirm(Millis at);
+    void resumeWatch();
     void startWatch();
     void onWatchBatch(const ChangeBatch&);
     void applyBatch(ChangeBatch);
@@ -144,6 +159,7 @@
         const char* event, const EventField& subject, const KeyChange&, const std::vector<FieldError>& faults);
     void setLeader(const ServiceName&, LeaderEntry);
     void applyTable(const KeyChange&);
+    void noteSuspension();
     void onStoreFailure(const char* call, const StoreError&);
     void onStoreAnswer();
 
@@ -160,6 +176,8 @@
     bool m_watching = true; // this host watches the store itself
     bool m_reading = false; // a read of the whole store is under way
     Millis m_readStartedAt {}; // monotonic clock
+    Millis m_watchStartedAt {}; // monotonic clock
+    Millis m_suspendedFor {}; // of the boot clock, the time that the monotonic clock has not counted
     // The copy is known to have held every change of the store at this time, on the monotonic clock.
     Millis m_confirmedAt { -100000 };
     Millis m_watchAnsweredAt { -100000 };
@@ -179,6 +197,7 @@
     std::map<ServiceName, StoredTable> m_tables;
     std::map<ServiceName, StoreRevision> m_tableDeletions; // older tables are outdated
     KeyVersions m_known;
+    ChangeHistory m_history; // without range tables
 
     StoreEra m_firstEra; // of the first read
     bool m_storeReachable = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,7 +52,8 @@
 Gateway::Gateway(const GatewaySettings& settings, std::string settingsPath, const PlatformAdapter& adapter)
     : m_settingsPath(std::move(settingsPath))
     , m_context(settings, adapter, peerHandlers())
-    , m_watcher(m_context)
+    , m_catchUp(m_context)
+    , m_watcher(m_context, m_catchUp)
     , m_reachMonitor(m_context)
     , m_quarantineMonitor(m_context)
     , m_dispatcher(m_context)
@@ -144,6 +145,7 @@
     flushEvents();
     m_context.directory.tick();
     m_watcher.tick();
+    m_catchUp.tick();
     m_reachMonitor.tick();
     m_quarantineMonitor.tick();
     for (auto& [name, leader] : m_leaders)
@@ -201,6 +203,8 @@
                     leader->second->onLeaderSteppedDown(from, received);
             },
             [&](const WatchUpdate& received) { m_watcher.onWatchUpdate(from, received); },
+            [&](const ReplicaRequest& received) { m_catchUp.onRequest(from, received); },
+            [&](const ReplicaBatch& received) { m_catchUp.onBatch(from, received); },
             [&](const HostLeaving& received) { m_context.directory.markHostLeaving(from, received.incarnation); },
             [&](const UpstreamDeparture& received) { takeDeparture(m_context, from, received); },
             [&](RangeUpdate& received) { onRangeUpdate(std::move(received)); },
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,6 +58,7 @@
 
     std::string m_settingsPath;
     GatewayContext m_context;
+    CatchUp m_catchUp;
     StoreWatcher m_watcher;
     ReachMonitor m_reachMonitor;
     QuarantineMonitor m_quarantineMonitor;
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -36,8 +36,9 @@
 
 } // namespace
 
-StoreWatcher::StoreWatcher(GatewayContext& context)
+StoreWatcher::StoreWatcher(GatewayContext& context, CatchUp& catchUp)
     : m_context(context)
+    , m_catchUp(catchUp)
 {
     m_context.directory.onWatchAnswer([this](const ChangeBatch& batch) {
         if (isSelf(m_context, m_watchHost))
@@ -86,6 +87,7 @@
         watch(now);
     else
         follow(now);
+    readMissedTables(now);
     noteAge();
 }
 
@@ -169,7 +171,7 @@
     m_nextHeartbeatAt = monotonicNow() + partOfChangeTime(m_context, kHeartbeatIntervalPercent);
     const auto& directory = m_context.directory;
     WatchUpdate update { { batch.from, batch.to, {}, batch.fromRead }, {}, false, directory.age(),
-        directory.lapseGrace() };
+        directory.lapseGrace(), bootNow() - directory.age() };
     for (const auto& it : batch.changes) {
         if (!isTableKey(it.key))
             update.batch.changes.push_back(it);
@@ -189,24 +191,37 @@
     if (from == m_watchHost)
         m_lastHeardAt = monotonicNow();
     m_announced = std::max(m_announced, update.batch.to);
-    m_context.directory.applyRelayedBatch(update.batch, update.age, update.lapseGrace);
-    readMissedTables(update);
+    if (!m_context.directory.applyRelayedBatch(update.batch, m_catchUp.ageOf(from, update), update.lapseGrace))
+        m_catchUp.onGap(from);
+    noteTables(update);
 }
 
-void StoreWatcher::readMissedTables(const WatchUpdate& update)
+void StoreWatcher::noteTables(const WatchUpdate& update)
 {
-    const Millis now = monotonicNow();
     for (const auto& [service, revision] : update.tables) {
         const StoredTable* known = m_context.directory.tableOf(service);
-        if (known && revision <= known->revision) {
-            m_behindSince.erase(service);
+        if (known && revision <= known->revision)
+            continue;
+        MissedTable& missed
+            = m_missedTables.try_emplace(service, MissedTable { revision, monotonicNow() }).first->second;
+        missed.revision = std::max(missed.revision, revision);
+    }
+}
+
+void StoreWatcher::readMissedTables(Millis now)
+{
+    for (auto it = m_missedTables.begin(); it != m_missedTables.end();) {
+        auto& [service, missed] = *it;
+        const StoredTable* known = m_context.directory.tableOf(service);
+        if (known && missed.revision <= known->revision) {
+            it = m_missedTables.erase(it);
             continue;
         }
-        const auto [since, added] = m_behindSince.emplace(service, now);
-        if (!added && now - since->second >= kTableReadDelay) {
-            since->second = now;
+        if (now - missed.since >= kTableReadDelay) {
+            missed.since = now;
             m_context.directory.readTable(service);
         }
+        ++it;
     }
 }
 
--- a/src/gateway/watcher.h
+++ b/src/gateway/watcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catch_up.h"
 #include "context.h"
 
 #include <functional>
@@ -26,7 +27,7 @@
 
 class StoreWatcher {
 public:
-    explicit StoreWatcher(GatewayContext&);
+    StoreWatcher(GatewayContext&, CatchUp&);
 
     void tick();
     void onWatchUpdate(const HostName& from, const WatchUpdate&);
@@ -42,9 +43,11 @@
     void markFailed(const HostName&, const char* reason);
     std::vector<HostName> followers() const;
     void send(const ChangeBatch&);
-    void readMissedTables(const WatchUpdate&);
+    void noteTables(const WatchUpdate&);
+    void readMissedTables(Millis now);
 
     GatewayContext& m_context;
+    CatchUp& m_catchUp;
     HostName m_watchHost; // chosen to watch the store for this data centre
     Millis m_watchHostSince {};
     Millis m_lastHeardAt {}; // last update from m_watchHost, or the time when it was chosen
@@ -52,7 +55,12 @@
     Millis m_nextHeartbeatAt {};
     StoreRevision m_announced; // the latest of a watching host
     bool m_outdated = false; // the copy is older than a change may take to be in force
-    std::map<ServiceName, Millis> m_behindSince; // by service of which the watching host has a newer table
+    // The latest table of a service that another host has announced and this host lacks.
+    struct MissedTable {
+        StoreRevision revision;
+        Millis since {}; // missed, or last asked for
+    };
+    std::map<ServiceName, MissedTable> m_missedTables;
 };
 
 } // namespace pistachiospur
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -59,6 +59,8 @@
             "time since this host's copy of the store is known to have been complete" },
         { "pistachiospur_copy_revisions_behind", "gauge",
             "store revisions that this host's copy lacks of the latest that its watching host has announced" },
+        { "pistachiospur_copy_requests_total", "counter",
+            "requests to other hosts for what this host's copy of the store lacks" },
         { "pistachiospur_owned_slots", "gauge", "slots owned, by upstream" },
         { "pistachiospur_burn_rate", "gauge", "error budget burn rate by service, rank and window" },
     };
--- a/src/peers/codec.h
+++ b/src/peers/codec.h
@@ -75,6 +75,9 @@
 // members behind the last one that is known are ignored.
 template <typename Struct> constexpr std::size_t kAddedMembers = 0;
 template <> inline constexpr std::size_t kAddedMembers<Hello> = 1;
+template <> inline constexpr std::size_t kAddedMembers<ReplicaRequest> = 1;
+template <> inline constexpr std::size_t kAddedMembers<ReplicaBatch> = 6;
+template <> inline constexpr std::size_t kAddedMembers<WatchUpdate> = 1;
 
 template <std::size_t added = 0, typename... Members> void unpack(const nlohmann::json& j, Members&... members)
 {
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -183,6 +183,16 @@
     return std::any_of(m_links.begin(), m_links.end(), [&](const auto& it) { return it->peer == host; });
 }
 
+std::optional<Millis> PeerHub::lastReceivedFrom(const HostName& host) const
+{
+    std::optional<Millis> last;
+    for (const auto& it : m_links) {
+        if (it->peer == host)
+            last = std::max(last.value_or(it->lastReceived()), it->lastReceived());
+    }
+    return last;
+}
+
 // The outgoing link, opened if there is none; null if the host's endpoint is not known.
 PeerHub::Outgoing* PeerHub::openOutgoing(const LinkKey& key)
 {
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -80,8 +80,9 @@
 PISTACHIOSPUR_WIRE(Hello, std::tie(it.host, it.incarnation, it.isBulk, it.kinds))
 PISTACHIOSPUR_WIRE(Heartbeat,
     std::tie(it.incarnation, it.leaving, it.ready, it.isReply, it.revision, it.listDigest, it.rumours, it.suspicions))
-PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since))
-PISTACHIOSPUR_WIRE(ReplicaBatch, std::tie(it.batch))
+PISTACHIOSPUR_WIRE(ReplicaRequest, std::tie(it.since, it.askedAt))
+PISTACHIOSPUR_WIRE(
+    ReplicaBatch, std::tie(it.batch, it.askedAt, it.answeredAt, it.confirmedAt, it.lapseGrace, it.isComplete, it.keys))
 PISTACHIOSPUR_WIRE(ReplicaSnapshot, std::tie(it.snapshot))
 PISTACHIOSPUR_WIRE(UpstreamReport, std::tie(it.service, it.upstream, it.lost))
 PISTACHIOSPUR_WIRE(StopRenewing, std::tie(it.upstream, it.fence))
@@ -113,7 +114,7 @@
 PISTACHIOSPUR_WIRE(
     RangeTable, std::tie(it.writer, it.grantTtl, it.previousWriters, it.ranges, it.era, it.unknownGrantsFor))
 PISTACHIOSPUR_WIRE(RangeUpdate, std::tie(it.service, it.revision, it.base, it.changes, it.pending))
-PISTACHIOSPUR_WIRE(WatchUpdate, std::tie(it.batch, it.tables, it.lost, it.age, it.lapseGrace))
+PISTACHIOSPUR_WIRE(WatchUpdate, std::tie(it.batch, it.tables, it.lost, it.age, it.lapseGrace, it.confirmedAt))
 
 namespace {
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -43,14 +43,25 @@
     std::vector<Suspicion> suspicions;
 };
 
-// Asks a host for the store's changes after a revision. The answer is a ReplicaBatch, or a ReplicaSnapshot if the host
-// no longer keeps those changes.
+// Asks a host for the store's changes after a revision. The answer is a ReplicaBatch; on our own protocol it is a
+// ReplicaSnapshot if the host no longer keeps those changes.
 struct ReplicaRequest {
     StoreRevision since;
+    Millis askedAt {}; // on the sender's boot clock
 };
 
+// The members after the batch are not used on our own protocol. Times other than `askedAt` are on the boot clock of the
+// host that answers.
 struct ReplicaBatch {
     ChangeBatch batch;
+    Millis askedAt {}; // of the request
+    Millis answeredAt {};
+    Millis confirmedAt {}; // the sender's copy, with this batch, held every change of the store
+    Millis lapseGrace {}; // as in WatchUpdate
+    // False: the sender does not know what was deleted since. The batch has only puts, and `keys` names all keys that
+    // exist; none if the request came from a later era.
+    bool isComplete = true;
+    std::vector<std::string> keys {};
 };
 
 struct ReplicaSnapshot {
@@ -167,6 +178,8 @@
     bool lost = false; // the sender's watch has failed; the other members are empty
     Millis age {}; // since the sender's copy, with this batch, held every change of the store
     Millis lapseGrace {}; // how much longer an upstream stays in use whose entry the batch deletes; zero: not at all
+    // On the sender's boot clock: its copy, with this batch, held every change of the store. Zero from earlier builds.
+    Millis confirmedAt {};
 };
 
 // The sender has been elected leader of a service's ranges. It sends this at intervals to the hosts of previous leaders
--- a/src/store/versions.cpp
+++ b/src/store/versions.cpp
@@ -46,7 +46,7 @@
 bool hasGap(const KeyVersions& known, const ChangeBatch& batch)
 {
     if (batch.fromRead && batch.to > known.completeTo)
-        return known.completeTo != batch.from;
+        return true;
     return known.completeTo < batch.from;
 }
 
@@ -60,8 +60,11 @@
             confirmed.insert(it.key);
         // A put up to completeTo that is not known any more has been undone since.
         const bool outdated = it.text && it.version <= known.completeTo;
-        if (!outdated && mergeChange(known, it))
-            changes.push_back(std::move(it));
+        if (outdated || !mergeChange(known, it))
+            continue;
+        if (it.text && it.version > batch.to)
+            known.ahead[it.key] = it.version;
+        changes.push_back(std::move(it));
     }
     known.completeTo = std::max(known.completeTo, batch.to);
     for (auto& key : takeCaughtUp(known)) {
--- a/src/store/versions.h
+++ b/src/store/versions.h
@@ -25,7 +25,8 @@
     ChangeBatch relay;
 };
 
-// Whether a batch cannot be merged, because changes before it are missing. Another read is needed then.
+// Whether a batch cannot be merged, because changes before it are missing. So may be deletions that a read does not
+// show, so a batch that was made from one is merged nowhere.
 bool hasGap(const KeyVersions&, const ChangeBatch&);
 // Merges a batch without a gap. Returns the changes that are new. If a key that was learned ahead is missing from a
 // batch that was made from a read, the result contains its deletion.
--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/catch_up.h"
 #include "gateway_fixture.h"
 
 // Hosts that cannot read the store, or only slowly, while others can. Each host calls the store at an address of its
@@ -131,4 +132,42 @@
     BOOST_TEST(site.knowsVersion(0, 3));
 }
 
+BOOST_AUTO_TEST_CASE(hostAsksTheRelayFirstThenHostsNearAndFarInTurn)
+{
+    const CopySources sources { "w", { "a", "b" }, { "x", "y" } };
+    std::string asked;
+    for (unsigned n = 0; n < 7; ++n)
+        asked += *sourceAt(sources, n);
+    BOOST_TEST(asked == "waxbyax");
+    BOOST_TEST(*sourceAt({ std::nullopt, {}, { "x" } }, 0) == "x");
+    BOOST_TEST(*sourceAt({ std::nullopt, { "a" }, {} }, 1) == "a");
+    BOOST_TEST(!sourceAt({}, 0).has_value());
+}
+
+// Guards against a copy that counts as fresh although the message that confirms it was on its way for seconds.
+BOOST_AUTO_TEST_CASE(timeThatAnUpdateSpendsOnItsWayCountsAsAge)
+{
+    GatewaySettings settings;
+    settings.host = "h1";
+    settings.peers = { "127.0.0.1", 0 };
+    for (const auto& it : gatewayOptions())
+        settings.limits.*it.field = it.defaultValue;
+    const PeerHub::Handlers handlers { [](const HostName&, LinkId, const Message&) {}, [](const LostLink&) {},
+        [](const HostName&) { return std::nullopt; } };
+    GatewayContext context(settings, platform::kvPlatformAdapter(), handlers);
+    CatchUp catchUp(context);
+    WatchUpdate update;
+    update.age = Millis(100);
+    BOOST_TEST(catchUp.ageOf("w", update).value_or(Millis(-1)).count() == 100); // of an earlier build
+    update.confirmedAt = Millis(7900);
+    BOOST_TEST(!catchUp.ageOf("w", update).has_value()); // the clock of "w" is not known yet
+    ReplicaBatch answer;
+    answer.askedAt = bootNow() - Millis(5000);
+    answer.answeredAt = answer.confirmedAt = Millis(8000);
+    catchUp.onBatch("w", answer);
+    BOOST_REQUIRE(catchUp.ageOf("w", update).has_value());
+    BOOST_TEST(catchUp.ageOf("w", update)->count() >= 5100);
+    BOOST_TEST(catchUp.ageOf("w", update)->count() < 6000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -204,9 +204,8 @@
     host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
     BOOST_REQUIRE(host.isInUse("u1"));
     host.directory.setWatching(false);
-    host.directory.applyRelayedBatch(
-        { { 105 }, { 106 }, {} }, Millis(0), Millis(0)); // a gap, so the whole store is read
-    BOOST_REQUIRE(host.store.reads.size() == 2u);
+    host.directory.readAlone();
+    BOOST_REQUIRE(host.store.reads.size() == 3u);
     host.relay(100, 110, host.upstreamKey, "draining");
     host.relay(110, 120, host.upstreamKey, std::nullopt);
     host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
@@ -234,7 +233,7 @@
     host.directory.recordStoreFailure("watch", {});
     host.directory.setWatching(false);
     host.directory.setWatching(true);
-    host.store.answerLastRead(host.snapshot(120));
+    host.store.onBatch({ { 100 }, { 120 }, { { host.upstreamKey, std::nullopt, { 120 } } } });
     BOOST_TEST(host.isInUse("u1"));
     BOOST_TEST(host.directory.lapseGrace().count() > 0);
 }
@@ -271,6 +270,65 @@
     }
 }
 
+// Guards against a read of the whole store for each message that a host misses.
+BOOST_AUTO_TEST_CASE(batchBehindAGapIsNotAppliedAndReadsNothing)
+{
+    Fixture host;
+    host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
+    host.directory.setWatching(false);
+    const ChangeBatch batch { { 105 }, { 110 }, { { host.upstreamKey, std::nullopt, { 110 } } } };
+    BOOST_TEST(!host.directory.applyRelayedBatch(batch, Millis(0), Millis(0)));
+    BOOST_TEST(host.isInUse("u1"));
+    BOOST_TEST(host.directory.revision().value == 100u);
+    BOOST_TEST(host.store.reads.size() == 1u);
+}
+
+// Guards against a busy host that takes over the watch and never gets through a read of the whole store.
+BOOST_AUTO_TEST_CASE(hostThatTakesOverTheWatchReadsOnlyWhatItLacks)
+{
+    Fixture host;
+    host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
+    host.directory.setWatching(false);
+    host.directory.setWatching(true);
+    BOOST_TEST(host.store.reads.size() == 1u);
+    BOOST_REQUIRE(host.store.isWatching());
+    host.store.onBatch({ { 100 }, { 120 }, { { host.upstreamKey, std::nullopt, { 120 } } } });
+    BOOST_TEST(!host.isInUse("u1"));
+    BOOST_TEST(host.directory.revision().value == 120u);
+}
+
+BOOST_AUTO_TEST_CASE(hostThatTakesOverTheWatchReadsTheStoreIfItsHistoryIsLost)
+{
+    Fixture host;
+    host.store.answerLastRead(host.snapshot(100, { { host.upstreamKey, { "up", { 90 } } } }));
+    host.directory.setWatching(false);
+    host.directory.setWatching(true);
+    StoreError lost;
+    lost.historyLost = true;
+    host.store.onWatchEnd(lost);
+    BOOST_REQUIRE(host.store.reads.size() == 2u);
+    host.store.answerLastRead(host.snapshot(120));
+    BOOST_TEST(!host.isInUse("u1"));
+}
+
+BOOST_AUTO_TEST_CASE(hostHandsOnWhatAnotherCopyLacks)
+{
+    Fixture host, other;
+    for (Fixture* it : { &host, &other }) {
+        it->store.answerLastRead(it->snapshot(100, { { it->upstreamKey, { "up", { 90 } } } }));
+        it->directory.setWatching(false);
+    }
+    host.relay(100, 110, host.adapter.configurationKey, "2");
+    host.relay(110, 120, host.upstreamKey, std::nullopt);
+    const auto batch = host.directory.changesSince(other.directory.revision());
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_TEST(other.directory.applyRelayedBatch(*batch, Millis(0), Millis(0)));
+    BOOST_REQUIRE(other.directory.routes().has_value());
+    BOOST_TEST(other.directory.routes()->version.value == 2u);
+    BOOST_TEST(!other.isInUse("u1"));
+    BOOST_TEST(!host.directory.changesSince({ 50 }).has_value()); // before its first read
+}
+
 // Guards against a configuration that comes too late on a busy host, whose reads of the whole store time out.
 BOOST_AUTO_TEST_CASE(ownReadBringsTheConfigurationEvenIfTheWholeStoreIsNotRead)
 {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -9,8 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <optional>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 
--- a/tests/message_samples.h
+++ b/tests/message_samples.h
@@ -31,12 +31,14 @@
     heartbeat.incarnation = { 3 };
     heartbeat.ready = true;
     heartbeat.suspicions = { { 7, 8 } };
+    ReplicaBatch replica;
+    replica.batch = batch;
     HostListUpdate list;
     list.change.removed = { "gone" };
     ReleaseReport release;
     release.upstream = "u";
     release.status.remaining = Millis(9);
-    return { Hello { "h", { 3 }, true }, heartbeat, ReplicaRequest { { 5 } }, ReplicaBatch { batch },
+    return { Hello { "h", { 3 }, true }, heartbeat, ReplicaRequest { { 5 } }, replica,
         ReplicaSnapshot { { { 4 }, { { "key", { "text", { 2 } } } } } }, UpstreamReport { "s", "u", true },
         StopRenewing { "u", { 4 } }, RenewalStopped { "u", { 4 }, Millis(6) }, ReleaseQuery { "u" }, release,
         Relay { 1, "u", request, "z", true, true },
--- a/tests/versions_properties.cpp
+++ b/tests/versions_properties.cpp
@@ -1,3 +1,4 @@
+#include "store/history.h"
 #include "store/versions.h"
 
 #include <boost/test/unit_test.hpp>
@@ -60,10 +61,12 @@
     KeyVersions known;
     std::map<std::string, StoreRevision> values; // the applied state: version by key
     std::vector<ChangeBatch> inbox;
+    ChangeHistory history;
 
     void apply(const std::vector<KeyChange>& changes)
     {
         for (const auto& it : changes) {
+            recordChange(history, it);
             if (it.text)
                 values[it.key] = it.version;
             else
@@ -126,6 +129,7 @@
         Read read = reads[n];
         reads.erase(reads.begin() + static_cast<std::ptrdiff_t>(n));
         SnapshotMerge merge = mergeSnapshot(copies[read.copy].known, std::move(read.snapshot));
+        recordRead(copies[read.copy].history, merge.relay.to);
         copies[read.copy].apply(merge.changes);
         if (read.copy == 0)
             relay(merge.relay);
@@ -142,7 +146,7 @@
         Copy& watcher = copies[0];
         const ChangeBatch batch { watcher.known.completeTo, store.revision,
             store.changesAfter(watcher.known.completeTo), false };
-        watcher.apply(mergeBatch(watcher.known, batch));
+        deliver(watcher, batch);
         relay(batch);
     }
 
@@ -155,8 +159,42 @@
         const ChangeBatch batch = copy.inbox[n];
         if (draw(4) != 0)
             copy.inbox.erase(copy.inbox.begin() + static_cast<std::ptrdiff_t>(n));
-        if (!hasGap(copy.known, batch))
-            copy.apply(mergeBatch(copy.known, batch));
+        deliver(copy, batch);
+    }
+
+    static void deliver(Copy& copy, const ChangeBatch& batch)
+    {
+        if (hasGap(copy.known, batch))
+            return;
+        recordDeletions(copy.history, batch);
+        copy.apply(mergeBatch(copy.known, batch));
+    }
+
+    // One copy asks another for what it lacks. The answer may arrive late.
+    void askForChanges()
+    {
+        Copy& asker = copies[draw(kCopies)];
+        const Copy& source = copies[draw(kCopies)];
+        const auto batch = changesSince(source.history, asker.known.completeTo, source.known.completeTo);
+        answers += batch.has_value();
+        if (batch)
+            asker.inbox.push_back(*batch);
+        else
+            lists.push_back({ static_cast<std::size_t>(&asker - copies.data()),
+                keysSince(source.history, asker.known.completeTo, source.known.completeTo) });
+    }
+
+    void deliverList()
+    {
+        if (lists.empty())
+            return;
+        const std::size_t n = draw(lists.size());
+        auto [index, list] = lists[n];
+        lists.erase(lists.begin() + static_cast<std::ptrdiff_t>(n));
+        Copy& copy = copies[index];
+        SnapshotMerge merge = mergeSnapshot(copy.known, snapshotFrom(std::move(list), copy.known.versions));
+        recordRead(copy.history, merge.relay.to);
+        copy.apply(merge.changes);
     }
 
     void writeOwnRecord()
@@ -175,12 +213,12 @@
         records.erase(records.begin() + static_cast<std::ptrdiff_t>(n));
         Copy& copy = copies[record.copy];
         if (mergeRecord(copy.known, record.key, record.version))
-            copy.values[record.key] = record.version;
+            copy.apply({ { record.key, "text", record.version } });
     }
 
     void step()
     {
-        switch (draw(10)) {
+        switch (draw(13)) {
         case 0:
         case 1:
             return store.change(drawKey(), true);
@@ -190,7 +228,7 @@
             return watch();
         case 4:
         case 5:
-            return deliverBatch(copies[1 + draw(kCopies - 1)]);
+            return deliverBatch(copies[draw(kCopies)]);
         case 6:
             return beginRead(draw(kCopies));
         case 7:
@@ -203,6 +241,11 @@
                 deliverRead(n);
             return;
         }
+        case 9:
+        case 10:
+            return askForChanges();
+        case 11:
+            return deliverList();
         default:
             return draw(2) == 0 ? writeOwnRecord() : deliverRecord();
         }
@@ -234,6 +277,8 @@
     std::array<Copy, kCopies> copies;
     std::vector<Read> reads;
     std::vector<Record> records;
+    std::vector<std::pair<std::size_t, KeyList>> lists; // on their way to copies
+    std::size_t answers = 0; // to copies that asked others
     std::mt19937_64 random;
 };
 
@@ -252,6 +297,29 @@
     }
 }
 
+// Guards against a copy that falls behind for good while the store turns its host away: another copy tells what it
+// lacks.
+RC_BOOST_PROP(copyThatAsksAnotherLacksNothingThatItHas, (std::uint64_t seed))
+{
+    World world(seed);
+    for (int n = 0; n < kSteps; ++n)
+        world.step();
+    Copy &asker = world.copies[1], &source = world.copies[2];
+    // A source that has just read everything may not know what was deleted before.
+    world.watch();
+    world.watch();
+    while (!source.inbox.empty())
+        world.deliverBatch(source);
+    asker.inbox.clear();
+    const StoreRevision before = asker.known.completeTo;
+    const auto batch = changesSince(source.history, before, source.known.completeTo);
+    if (batch)
+        World::deliver(asker, *batch);
+    RC_ASSERT(!batch || asker.known.completeTo >= source.known.completeTo);
+    RC_ASSERT(world.isAsNewAsItClaims(asker));
+    RC_ASSERT(world.answers > 0u);
+}
+
 RC_BOOST_PROP(copiesEqualTheStoreOnceTheyHaveReadIt, (std::uint64_t seed))
 {
     World world(seed);
