CONFIG: reads and polls of the store end when nothing arrives, not when a large answer takes long

Cause: a read counted only if its whole answer arrived within store_timeout_ms (0.8 s), and a poll within 0.9 s. By arithmetic the configuration alone, 870 KB as base64, takes 0.7 s of a 10 Mbit/s link that carries requests as well; with the entries on the same page it never arrives in time. A host that had missed the relay could not make good for it, however often it tried.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -34,6 +34,15 @@
     bool tooLarge = false;
     bool headComplete = false; // the empty line after the headers has arrived
     bool paused = false; // libcurl waits for more of the body
+    Millis receivedAt {}; // monotonic clock; last bytes of the answer, or the start of the call
+    std::unique_ptr<Timer> silenceTimer; // null without a silence time-out
+
+    void noteReceived()
+    {
+        receivedAt = monotonicNow();
+        if (silenceTimer)
+            silenceTimer->once(call.silenceTimeout);
+    }
 
     ~Transfer()
     {
@@ -50,6 +59,7 @@
     {
         auto& transfer = *static_cast<Transfer*>(userData);
         const std::size_t n = size * count;
+        transfer.noteReceived();
         if (transfer.call.onBodyChunk) {
             transfer.client->m_chunks.emplace_back(transfer.id, std::string(data, n));
             return n;
@@ -113,6 +123,7 @@
         auto& transfer = *static_cast<Transfer*>(userData);
         const std::string line(data, size * count);
         transfer.headBytes += line.size();
+        transfer.noteReceived();
         if (transfer.headBytes > kMaxAnswerHeadBytes) {
             transfer.tooLarge = true;
             return 0;
@@ -158,7 +169,9 @@
     {
         const auto& transfer = *static_cast<Transfer*>(userData);
         const linger noLinger { 1, 0 };
-        const auto userTimeoutMs = static_cast<unsigned>(transfer.call.timeout.count());
+        const HttpCall& call = transfer.call;
+        const auto userTimeoutMs
+            = static_cast<unsigned>((call.silenceTimeout > Millis(0) ? call.silenceTimeout : call.timeout).count());
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
         setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
         return CURL_SOCKOPT_OK;
@@ -180,6 +193,7 @@
     , m_maxBodyBytes(maxBodyBytes)
     , m_maxTotalBytes(maxTotalBytes)
     , m_timer([this] { onSocketEvents(CURL_SOCKET_TIMEOUT, 0); })
+    , m_silenceTimer([this] { finishSilent(); })
 {
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, Internals::onSocket);
@@ -272,6 +286,13 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
     const CallId id = transfer->id;
+    if (request.silenceTimeout > Millis(0)) {
+        transfer->silenceTimer = std::make_unique<Timer>([this, id] {
+            m_silent.push_back(id);
+            m_silenceTimer.once(Millis(0));
+        });
+    }
+    transfer->noteReceived();
     m_transfers.emplace(id, std::move(transfer));
     curl_multi_add_handle(m_multi, easy);
     return id;
@@ -340,6 +361,17 @@
     }
 }
 
+// A timer must not be deleted from within its own callback, so silent calls end later. Bytes may have arrived
+// meanwhile.
+void HttpClient::finishSilent()
+{
+    for (const CallId id : std::exchange(m_silent, {})) {
+        const auto it = m_transfers.find(id);
+        if (it != m_transfers.end() && monotonicNow() - it->second->receivedAt >= it->second->call.silenceTimeout)
+            finish(it->second->easy, CURLE_OPERATION_TIMEDOUT);
+    }
+}
+
 namespace {
 
 HttpFault classifyFailure(CURL* easy, CURLcode code, bool tooLarge)
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -29,6 +29,9 @@
     std::optional<std::uint64_t> bodyBytes; // size of the body with `rest`; without it the body is sent in chunks
     Millis timeout { 1000 }; // for the whole call
     Millis connectTimeout {}; // included in `timeout`; zero: no separate limit
+    // If not zero, the call also fails when nothing of the answer has arrived for this time, and `timeout` may be long
+    // enough for a large answer over a slow link.
+    Millis silenceTimeout {};
     // Opens a new connection for this call. libcurl silently resends a request if a reused connection breaks before the
     // first byte of the answer, so a request that must not run twice has to set this.
     bool freshConnection = false;
@@ -93,6 +96,7 @@
     void continueBody(CallId);
     void limitTotal();
     void finishCompleted();
+    void finishSilent();
     void finish(CURL*, CURLcode);
 
     CURLM* m_multi;
@@ -101,6 +105,8 @@
     std::size_t m_totalBytes = 0; // of the bodies of all answers that are arriving
     CallId m_nextId = 1;
     Timer m_timer;
+    Timer m_silenceTimer;
+    std::vector<CallId> m_silent; // calls whose silence time-out has passed
     std::vector<CallId> m_earlyAnswers; // complete, although the request's body is not sent completely
     std::vector<std::pair<CallId, std::string>> m_chunks; // of streamed bodies, not yet passed to onBodyChunk
     std::unordered_map<CallId, std::unique_ptr<Transfer>> m_transfers;
