SHORT: reports of lost upstreams are paced by the number of hosts

Cause: each host told every other host at once of each upstream that it lost or reached again. An upstream that ends is lost to all hosts that try it, so messages grew with upstreams x hosts x hosts.

Change: a host reports a single upstream, of a service whose others it reaches, after 20 ms for each host of the site, up to the time after which the platform removes the entry of an upstream that ended, and not more often than that. A lost service, and the only upstream of a service, are reported at once as before.

Tests: Reachability/singleUpstreamsAreReportedOnceTheyHaveFailedForAWhile, onlyUpstreamOfAServiceIsReportedAtOnce, lostServicesAreReportedAtOnce.

--- a/src/gateway/reach_monitor.cpp
+++ b/src/gateway/reach_monitor.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxProbesInFlight = 4;
 constexpr Millis kProbeTimeout { 400 };
 constexpr Millis kRemovalInterval { 1000 };
+constexpr Millis kReportPace { 20 }; // for each host that a report goes to
+constexpr int kHeartbeatsUntilExpiry = 3; // missed ones, until the platform removes an upstream's entry
 // A call that waited less for its connection shows nothing if it ran out of time.
 constexpr Millis kMinConnectTimeout { 300 };
 
@@ -58,14 +60,38 @@
             probe(entry->instance);
     }
     compare();
-    if (!updateLost(m_context.reach))
-        return;
+    if (updateLost(m_context.reach))
+        noteLost();
+    report(now);
+}
+
+void ReachMonitor::noteLost()
+{
     const ReachReport& lost = m_context.reach.lost;
     logEvent(EventKind::state, "reach",
         { { "lost_services", lost.services }, { "lost_upstreams", namesOf(lost.upstreams) } });
     m_context.metrics.set("pistachiospur_lost_services", {}, static_cast<double>(lost.services.size()));
     m_context.metrics.set("pistachiospur_lost_upstreams", {}, static_cast<double>(lost.upstreams.size()));
-    m_context.hub.send(otherHosts(m_context), lost);
+}
+
+// Tells the other hosts: a change of services at once, of single upstreams at an interval that grows with the number of
+// hosts, because each report is a message to every host. By then the platform may have removed the entry of an upstream
+// that ended, which all hosts lose.
+void ReachMonitor::report(Millis now)
+{
+    const Reach& reach = m_context.reach;
+    if (reach.lost.empty() && m_reported.empty())
+        return;
+    const Millis interval = kReportPace * hostCount(m_context);
+    const Millis entryExpiry = kHeartbeatsUntilExpiry * Millis(m_context.settings.limits.upstreamHeartbeatMs);
+    ReachReport current = reportOf(reach, now - std::min(interval, entryExpiry));
+    const bool isDue = current.services != m_reported.services
+        || (current.upstreams != m_reported.upstreams && now >= m_reportedAt + interval);
+    if (!isDue)
+        return;
+    m_reportedAt = now;
+    m_reported = std::move(current);
+    m_context.hub.send(otherHosts(m_context), m_reported);
 }
 
 // Connects to other upstreams while some fail, to tell a cut of this host from failures of upstreams.
@@ -132,8 +158,8 @@
 void ReachMonitor::onLinkOpened(const HostName& host)
 {
     m_context.lostByHost.erase(host);
-    if (!m_context.reach.lost.empty())
-        m_context.hub.send(host, m_context.reach.lost);
+    if (!m_reported.empty())
+        m_context.hub.send(host, m_reported);
 }
 
 } // namespace pistachiospur
--- a/src/gateway/reach_monitor.h
+++ b/src/gateway/reach_monitor.h
@@ -23,12 +23,16 @@
 
 private:
     void compare();
+    void noteLost();
+    void report(Millis now);
     void removeGone();
     void probe(const UpstreamInstance&);
 
     GatewayContext& m_context;
     std::set<InstanceId> m_probing; // connections under way
     Millis m_nextRemovalAt {};
+    ReachReport m_reported; // to the other hosts
+    Millis m_reportedAt {}; // monotonic clock
 };
 
 } // namespace pistachiospur
--- a/src/membership/reach.cpp
+++ b/src/membership/reach.cpp
@@ -99,6 +99,20 @@
     return changed;
 }
 
+ReachReport reportOf(const Reach& reach, Millis failingSince)
+{
+    ReachReport report;
+    report.services = reach.lost.services;
+    for (const auto& [service, contacts] : reach.services) {
+        for (const auto& [instance, it] : contacts.failing) {
+            const bool reachesOthers = contacts.connectedAt >= it.since;
+            if ((!reachesOthers || it.since < failingSince) && reach.lost.upstreams.count(instance))
+                report.upstreams.insert(instance);
+        }
+    }
+    return report;
+}
+
 std::vector<InstanceId> dueProbes(Reach& reach, std::size_t n, Millis now)
 {
     struct Due {
--- a/src/membership/reach.h
+++ b/src/membership/reach.h
@@ -53,6 +53,9 @@
 template <typename Exists> void removeContacts(Reach&, const Exists&);
 // Derives what is lost from the contacts. Returns true if that has changed.
 bool updateLost(Reach&);
+// What of it other hosts are told: services at once, single upstreams once they have failed since before
+// `failingSince`. Until then they may have ended, and then every host loses them.
+ReachReport reportOf(const Reach&, Millis failingSince);
 // The upstreams to connect to now: those whose last connection failed, in the order in which they are due, at most `n`.
 // Their next probe is put off.
 std::vector<InstanceId> dueProbes(Reach&, std::size_t n, Millis now);
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -115,6 +115,29 @@
     BOOST_TEST(reach.lost.upstreams.size() == 1);
 }
 
+// Guards against a message from every host to every other for each upstream that ends.
+BOOST_AUTO_TEST_CASE(singleUpstreamsAreReportedOnceTheyHaveFailedForAWhile)
+{
+    const Reach reach = lostUpstreams(1, Millis(1000), Millis(1200));
+    BOOST_REQUIRE(reach.lost.upstreams.size() == 1);
+    BOOST_TEST(reportOf(reach, Millis(1000)).empty());
+    BOOST_TEST(reportOf(reach, Millis(1001)).upstreams.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(onlyUpstreamOfAServiceIsReportedAtOnce)
+{
+    const Reach reach = lostUpstreams(1, Millis(1000));
+    BOOST_REQUIRE(reach.lost.upstreams.size() == 1);
+    BOOST_TEST(reportOf(reach, Millis(0)).upstreams.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(lostServicesAreReportedAtOnce)
+{
+    const Reach reach = lostUpstreams(2, Millis(1000));
+    BOOST_REQUIRE(reach.lost.services.count(kService) == 1);
+    BOOST_TEST(reportOf(reach, Millis(0)).services.count(kService) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(reportSurvivesTheCodec)
 {
     const ReachReport report { { "a", "b" }, { upstream(1), upstream(2) } };
