CONFIG: a range leader does not watch the store for its data centre while another host can

Cause: range leader and watching host were both chosen fastest first, so one host was both.

Change: hosts that lead ranges come last in the choice of the watching host.

Test: CatchingUp/rangeLeaderDoesNotWatchWhileAnotherHostCan; with the guard taken out it fails.

--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -97,6 +97,7 @@
     // Rises with each change of which hosts there are, and of their data centres and weights.
     std::uint64_t hostsVersion() const { return m_hostsVersion; }
     const LeaderEntry* leaderOf(const ServiceName&) const;
+    const std::map<ServiceName, LeaderEntry>& leaders() const { return m_leaders; }
     const StoredTable* tableOf(const ServiceName&) const;
     // Stores a table if it is newer than the known one. It comes from the store, from this host's own write or from the
     // leader's update.
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -67,13 +67,23 @@
     return firstUsable;
 }
 
+bool StoreWatcher::leadsRanges(const HostName& host) const
+{
+    const auto& leaders = m_context.directory.leaders();
+    return std::any_of(leaders.begin(), leaders.end(), [&](const auto& it) { return it.second.host == host; });
+}
+
 void StoreWatcher::tick()
 {
     const Millis now = monotonicNow();
     const auto& dataCentre = m_context.settings.dataCentre;
     const auto& order = rankedHosts(m_context, "watcher/" + dataCentre, dataCentre, HostOrder::fastestFirst);
+    const auto isUsable = [&](const HostName& host) { return canTakeWork(m_context, host, now); };
+    // A range leader of a large service has little time for anything else.
     HostName watchHost = chooseWatchHost(
-        order, [&](const HostName& host) { return canTakeWork(m_context, host, now); }, m_failedUntil, now);
+        order, [&](const HostName& host) { return isUsable(host) && !leadsRanges(host); }, m_failedUntil, now);
+    if (watchHost.empty())
+        watchHost = chooseWatchHost(order, isUsable, m_failedUntil, now);
     if (watchHost.empty())
         watchHost = m_context.settings.host;
     if (watchHost != m_watchHost) {
--- a/src/gateway/watcher.h
+++ b/src/gateway/watcher.h
@@ -36,6 +36,7 @@
 
 private:
     bool isStoreAnswering() const;
+    bool leadsRanges(const HostName&) const;
     void noteAge();
     void follow(Millis now);
     void watch(Millis now);
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -146,6 +146,7 @@
 
 void KvStandin::Entrance::onCall(const HttpRequest& request, const Responder& responder)
 {
+    watchCalls += request.path == "/kv-watch";
     if (fault == StoreFault::refuse)
         return responder.respond(m_store.withEra({ 503, {}, "" }));
     if (fault == StoreFault::silent) {
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -35,6 +35,7 @@
         Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
 
         StoreFault fault = StoreFault::none; // refuse or silent
+        unsigned watchCalls = 0;
         std::size_t readBytesPerSecond = 0; // at which answers to reads arrive; zero: no limit
 
     private:
--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -32,17 +32,19 @@
         return *entrances.back();
     }
 
-    unsigned configurationAt(std::size_t host)
+    Json statusOf(std::size_t host)
     {
         HttpCall request;
         request.method = "GET";
         request.endpoint = adminEndpoints[host];
         request.target = "/status";
         request.timeout = Millis(500);
-        const Json status = Json::parse(sendCall(std::move(request)).body, nullptr, false);
-        return status.is_object() ? status.value("configuration", 0u) : 0;
+        Json status = Json::parse(sendCall(std::move(request)).body, nullptr, false);
+        return status.is_object() ? status : Json::object();
     }
 
+    unsigned configurationAt(std::size_t host) { return statusOf(host).value("configuration", 0u); }
+
     bool knowsVersion(std::size_t host, unsigned version, Millis timeout = kTestTimeout)
     {
         const Millis end = monotonicNow() + timeout;
@@ -132,6 +134,22 @@
     BOOST_TEST(site.knowsVersion(0, 3));
 }
 
+// Guards against a range leader whose watch fails under the work of leading, and with it that of its data centre.
+BOOST_AUTO_TEST_CASE(rangeLeaderDoesNotWatchWhileAnotherHostCan)
+{
+    Site site;
+    site.addHostIn("z1");
+    site.addHostIn("z1", 50);
+    BOOST_REQUIRE(site.haveSettled());
+    site.runLoopUntil([] { return false; }, kChangeTime);
+    const std::size_t leader = site.statusOf(0)["keepers"]["keyed"] == "h0" ? 0 : 1;
+    const unsigned leaderCalls = site.entrances[leader]->watchCalls;
+    const unsigned otherCalls = site.entrances[1 - leader]->watchCalls;
+    site.runLoopUntil([] { return false; }, kChangeTime);
+    BOOST_TEST(site.entrances[leader]->watchCalls == leaderCalls);
+    BOOST_TEST(site.entrances[1 - leader]->watchCalls > otherCalls);
+}
+
 BOOST_AUTO_TEST_CASE(hostAsksTheRelayFirstThenHostsNearAndFarInTurn)
 {
     const CopySources sources { "w", { "a", "b" }, { "x", "y" } };
