--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -286,16 +286,22 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
     const CallId id = transfer->id;
-    if (request.silenceTimeout > Millis(0)) {
-        transfer->silenceTimer = std::make_unique<Timer>([this, id] {
+    limitSilence(*transfer);
+    m_transfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(m_multi, easy);
+    return id;
+}
+
+// Begins to measure for how long nothing of the answer has arrived, if the call limits that.
+void HttpClient::limitSilence(Transfer& transfer)
+{
+    if (transfer.call.silenceTimeout > Millis(0)) {
+        transfer.silenceTimer = std::make_unique<Timer>([this, id = transfer.id] {
             m_silent.push_back(id);
             m_silenceTimer.once(Millis(0));
         });
     }
-    transfer->noteReceived();
-    m_transfers.emplace(id, std::move(transfer));
-    curl_multi_add_handle(m_multi, easy);
-    return id;
+    transfer.noteReceived();
 }
 
 // More of a body that flows has arrived, or it has ended.
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -93,6 +93,7 @@
 private:
     void onSocketEvents(curl_socket_t, int events);
     void deliverChunks();
+    void limitSilence(Transfer&);
     void continueBody(CallId);
     void limitTotal();
     void finishCompleted();
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -101,7 +101,7 @@
     }
 
     void addHost(int n, const PlatformAdapter& adapter = platform::kvPlatformAdapter(), const char* dataCentre = "z1",
-        std::int64_t processorPercent = 100, std::optional<Endpoint> storeEndpoint = std::nullopt)
+        std::int64_t processorPercent = 100, const std::optional<Endpoint>& storeEndpoint = std::nullopt)
     {
         GatewaySettings settings;
         settings.host = "h" + std::to_string(n);
