Catch-up: a clock that puts a confirmation into the time to come is asked for again

Found in review: a host that started again under its name on a machine that had run for longer would confirm copies for a time yet to come, and they would count as fresh until then. The offset is dropped when a link to the host opens, and when it shows such a time; ages are not negative.

Test: CatchingUp/timeThatAnUpdateSpendsOnItsWayCountsAsAge has the case.

--- a/src/gateway/catch_up.cpp
+++ b/src/gateway/catch_up.cpp
@@ -131,7 +131,7 @@
     // The answer was made at the time of the request or later.
     m_offsets[from] = { answer.askedAt - answer.answeredAt, now };
     const Millis ageBefore = m_context.directory.age();
-    const Millis age = now - (answer.confirmedAt + m_offsets[from].least);
+    const Millis age = std::max(Millis(0), now - (answer.confirmedAt + m_offsets[from].least));
     if (!apply(answer, age)) {
         if (m_attempts < kGapAttempts)
             m_nextAskAt = Millis(0);
@@ -157,8 +157,13 @@
 {
     if (update.confirmedAt == Millis(0))
         return update.age; // an earlier build
-    const auto known = m_offsets.find(from);
     const Millis now = bootNow();
+    auto known = m_offsets.find(from);
+    // A copy cannot be complete to a time yet to come: the host's clock is another one than before.
+    if (known != m_offsets.end() && now < update.confirmedAt + known->second.least) {
+        m_offsets.erase(known);
+        known = m_offsets.end();
+    }
     if (known == m_offsets.end() || now - known->second.knownAt >= kOffsetLifetime) {
         Millis& askedAt = m_clockAskedAt[from];
         if (monotonicNow() >= askedAt + kAskInterval) {
@@ -169,4 +174,6 @@
     return known == m_offsets.end() ? std::nullopt : std::optional(now - (update.confirmedAt + known->second.least));
 }
 
+void CatchUp::onLinkOpened(const HostName& host) { m_offsets.erase(host); }
+
 } // namespace pistachiospur
--- a/src/gateway/catch_up.h
+++ b/src/gateway/catch_up.h
@@ -33,6 +33,8 @@
     // The age of a watching host's copy, as far as this host's own clock shows: what the update spent on its way
     // counts. Nothing while the sender's clock is not known; asks the sender for it.
     std::optional<Millis> ageOf(const HostName& from, const WatchUpdate&);
+    // A link to a host has opened: it may have started again, with another clock.
+    void onLinkOpened(const HostName&);
 
 private:
     // The difference between this host's boot clock and a peer's, from a request and its answer.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -174,8 +174,10 @@
         Overloaded {
             [&](const Hello& received) {
                 m_context.unreachableUntil.erase(from);
-                if (!received.isBulk)
+                if (!received.isBulk) {
                     m_reachMonitor.onLinkOpened(from);
+                    m_catchUp.onLinkOpened(from);
+                }
             },
             [&](ReachReport& received) { m_reachMonitor.onReport(from, std::move(received)); },
             [&](Relay& received) { onRelay(from, link, std::move(received)); },
--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -186,6 +186,9 @@
     BOOST_REQUIRE(catchUp.ageOf("w", update).has_value());
     BOOST_TEST(catchUp.ageOf("w", update)->count() >= 5100);
     BOOST_TEST(catchUp.ageOf("w", update)->count() < 6000);
+    // The host has started again on a machine that has run for longer.
+    update.confirmedAt = Millis(8000 + 3600000);
+    BOOST_TEST(!catchUp.ageOf("w", update).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
