--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -2,22 +2,28 @@
 
 #include <nlohmann/json.hpp>
 
-// A request whose body contains the text of another request, with a transfer coding that is not "chunked". The text
-// must not run as a request.
+#include <algorithm>
+#include <csignal>
+
+// A process is killed and started again while another one stands still. Orders that clients send to its new life are
+// refused with the promise that they do not run, and run.
 namespace pistachiospur::review {
 
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr Millis kAnswerTime { 1500 };
+constexpr int kUpstreams = 12; // of the keyed service
+constexpr int kRequests = 60; // of each life
+constexpr Millis kRunTime { 350 }; // of an order
+constexpr Millis kClientsDeadline { 4000 };
 
 std::string configuration()
 {
     const Json route = { { "name", "orders" }, { "path-prefix", "/orders/" }, { "route-type", "unsafe" },
-        { "timeout-ms", 3000 }, { "target-latency-ms", 1000 }, { "priority", 1 }, { "max-attempts", 2 },
-        { "service", "pool" } };
-    return Json { { "version", "00000001" }, { "services", { { { "name", "pool" } } } },
+        { "timeout-ms", 4000 }, { "target-latency-ms", 2500 }, { "priority", 1 }, { "max-attempts", 2 },
+        { "service", "keyed" } };
+    return Json { { "version", "00000001" }, { "services", { { { "name", "keyed" }, { "sharded", true } } } },
         { "limits",
             { { "max-header-bytes", 16384 }, { "max-body-bytes", 4000000 }, { "header-timeout-ms", 3000 },
                 { "idle-timeout-ms", 15000 } } },
@@ -25,17 +31,31 @@
         .dump();
 }
 
-std::string head(const std::string& path, const std::string& id)
+// Orders for keys spread over all upstreams, so that the other host coordinates some of them.
+std::vector<ClientAnswerPtr> sendOrders(Deployment& site, const std::string& life)
 {
-    return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 2500\r\n";
+    std::vector<ClientAnswerPtr> sent;
+    for (int n = 0; n < kRequests; ++n) {
+        const int key = (2 * n + 1) * 65536 / (2 * kRequests);
+        const std::string id = life + std::to_string(n);
+        sent.push_back(site.send(0, "POST", "/orders/" + id, id,
+            { { "Host", "a.example" }, { "Deadline-Ms", std::to_string(kClientsDeadline.count()) },
+                { "Shard-Key", std::to_string(key) } },
+            "order " + id));
+    }
+    return sent;
 }
 
 int run(const std::string& folder, const std::string& record)
 {
     Deployment site(folder, record);
     site.store.put("op/config", configuration());
-    standin::RangeUpstream upstream("pool", "p0", 1000, false);
-    site.store.put("servers/p0", upstream.entry());
+    std::vector<std::unique_ptr<standin::RangeUpstream>> upstreams;
+    for (int n = 0; n < kUpstreams; ++n) {
+        upstreams.push_back(std::make_unique<standin::RangeUpstream>("keyed", "k" + std::to_string(n), 1000, true));
+        upstreams.back()->runTime = kRunTime;
+        site.store.put("servers/" + upstreams.back()->name(), upstreams.back()->entry());
+    }
     for (const char* name : { "h0", "h1" })
         site.addHost(name);
     for (auto& it : site.hosts())
@@ -44,27 +64,58 @@
         if (!site.waitUntilReady(*it))
             return kCouldNotRun;
     }
-    site.runFor(Millis(1500));
+    const auto isGranted = [&] {
+        for (std::uint32_t key = 0; key < 65536; key += 512) {
+            if (std::none_of(upstreams.begin(), upstreams.end(), [&](const auto& it) { return it->holds(key); }))
+                return false;
+        }
+        return true;
+    };
+    if (!site.runUntil(isGranted, Millis(20000)))
+        return kCouldNotRun;
+    site.runFor(Millis(1000));
+
+    auto sent = sendOrders(site, "first-");
+    site.runFor(Millis(100));
+    if (hasTrouble()) {
+        DeployedHost& killed = *site.hosts()[0];
+        DeployedHost& stopped = *site.hosts()[1];
+        stopped.process->signal(SIGSTOP);
+        site.note("host " + stopped.name + " stands still");
+        site.runFor(Millis(20));
+        site.kill(killed);
+        site.runFor(Millis(100));
+        site.start(killed);
+        if (!site.waitUntilReady(killed))
+            return kCouldNotRun;
+    }
+    for (const auto& it : sendOrders(site, "second-"))
+        sent.push_back(it);
+    if (hasTrouble()) {
+        site.runFor(Millis(150));
+        site.hosts()[1]->process->signal(SIGCONT);
+        site.note("host " + site.hosts()[1]->name + " goes on");
+    }
+    site.runUntil([&] { return std::all_of(sent.begin(), sent.end(), [](const auto& it) { return it->done; }); },
+        Millis(10000));
+    site.runFor(Millis(4000)); // until no order can run any more
 
-    // The upload of a document, which happens to be the text of a request.
-    const std::string document = head("/orders/inner", "inner") + "Content-Length: 0\r\n\r\n";
-    const std::string framing
-        = hasTrouble() ? "Transfer-Encoding: gzip\r\n" : "Content-Length: " + std::to_string(document.size()) + "\r\n";
-    const std::string request = head("/orders/outer", "outer") + framing + "\r\n" + document;
-    site.note("sent on one connection:\n" + request);
-    const std::string answers = site.exchange(0, request, kAnswerTime);
-    site.note("received:\n" + answers);
-    bool isSmuggled = false, isServed = false;
-    for (const auto& it : upstream.received) {
-        site.note("ran " + it.id + " " + it.method + " " + it.target + ", body of " + std::to_string(it.body.size())
-            + " bytes");
-        isSmuggled |= it.id == "inner";
-        isServed |= it.id == "outer" && it.body == document;
+    int served = 0, broken = 0;
+    for (const auto& it : sent) {
+        int runs = 0;
+        for (const auto& upstream : upstreams)
+            runs += static_cast<int>(std::count_if(upstream->received.begin(), upstream->received.end(),
+                [&](const auto& ran) { return ran.id == it->id; }));
+        served += it->status == 200;
+        const bool isPromise = it->status == 503 || it->status == 429;
+        broken += isPromise && runs > 0;
+        site.note(it->id + ": status " + std::to_string(it->status) + ", ran " + std::to_string(runs) + " times"
+            + (isPromise && runs > 0 ? ", REFUSED BUT RAN: " + it->body : ""));
     }
-    if (!hasTrouble() && !isServed)
+    site.note(std::to_string(served) + " answered with success, " + std::to_string(broken) + " refused that ran");
+    if (served == 0)
         return kCouldNotRun;
-    site.note(isSmuggled ? "SMUGGLED: the document ran as a request" : "the document did not run");
-    return isSmuggled ? kBroken : kHeld;
+    return broken > 0 ? kBroken : kHeld;
 }
 
 } // namespace
