--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -20,15 +20,16 @@
 
 std::string configuration()
 {
-    const Json route = { { "name", "orders" }, { "path-prefix", "/orders/" }, { "route-type", "unsafe" },
-        { "timeout-ms", 4000 }, { "target-latency-ms", 2500 }, { "priority", 1 }, { "max-attempts", 2 },
-        { "service", "keyed" } };
-    return Json { { "version", "00000001" }, { "services", { { { "name", "keyed" }, { "sharded", true } } } },
+    const Json route
+        = { { "name", "orders" }, { "path-prefix", "/orders/" }, { "route-type", "unsafe" }, { "timeout-ms", 4000 },
+              { "target-latency-ms", 2500 }, { "priority", 1 }, { "max-attempts", 2 }, { "service", "keyed" } };
+    return Json {
+        { "version", "00000001" }, { "services", { { { "name", "keyed" }, { "sharded", true } } } },
         { "limits",
             { { "max-header-bytes", 16384 }, { "max-body-bytes", 4000000 }, { "header-timeout-ms", 3000 },
                 { "idle-timeout-ms", 15000 } } },
-        { "virtual-hosts", { { { "hostname", "a.example" }, { "path-matches", { route } } } } } }
-        .dump();
+        { "virtual-hosts", { { { "hostname", "a.example" }, { "path-matches", { route } } } } }
+    }.dump();
 }
 
 // Orders for keys spread over all upstreams, so that the other host coordinates some of them.
@@ -89,8 +90,8 @@
     }
     for (const auto& it : sendOrders(site, "second-"))
         sent.push_back(it);
-    site.runUntil([&] { return std::all_of(sent.begin(), sent.end(), [](const auto& it) { return it->done; }); },
-        Millis(10000));
+    site.runUntil(
+        [&] { return std::all_of(sent.begin(), sent.end(), [](const auto& it) { return it->done; }); }, Millis(10000));
 
     int served = 0, foreign = 0;
     for (const auto& it : upstreams) {
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -13,22 +13,23 @@
 
 using Json = nlohmann::json;
 
-constexpr int kUpstreams = 12; // of the keyed service
-constexpr int kRequests = 60; // of each life
+constexpr int kUpstreams = 6; // of the keyed service
+constexpr int kRequests = 24; // of each life
 constexpr Millis kRunTime { 350 }; // of an order
 constexpr Millis kClientsDeadline { 4000 };
 
 std::string configuration()
 {
-    const Json route = { { "name", "orders" }, { "path-prefix", "/orders/" }, { "route-type", "unsafe" },
-        { "timeout-ms", 4000 }, { "target-latency-ms", 2500 }, { "priority", 1 }, { "max-attempts", 2 },
-        { "service", "keyed" } };
-    return Json { { "version", "00000001" }, { "services", { { { "name", "keyed" }, { "sharded", true } } } },
+    const Json route
+        = { { "name", "orders" }, { "path-prefix", "/orders/" }, { "route-type", "unsafe" }, { "timeout-ms", 4000 },
+              { "target-latency-ms", 2500 }, { "priority", 1 }, { "max-attempts", 2 }, { "service", "keyed" } };
+    return Json {
+        { "version", "00000001" }, { "services", { { { "name", "keyed" }, { "sharded", true } } } },
         { "limits",
             { { "max-header-bytes", 16384 }, { "max-body-bytes", 4000000 }, { "header-timeout-ms", 3000 },
                 { "idle-timeout-ms", 15000 } } },
-        { "virtual-hosts", { { { "hostname", "a.example" }, { "path-matches", { route } } } } } }
-        .dump();
+        { "virtual-hosts", { { { "hostname", "a.example" }, { "path-matches", { route } } } } }
+    }.dump();
 }
 
 // Orders for keys spread over all upstreams, so that the other host coordinates some of them.
@@ -76,13 +77,12 @@
     site.runFor(Millis(1000));
 
     auto sent = sendOrders(site, "first-");
-    site.runFor(Millis(100));
+    site.runFor(Millis(40));
     if (hasTrouble()) {
         DeployedHost& killed = *site.hosts()[0];
         DeployedHost& stopped = *site.hosts()[1];
         stopped.process->signal(SIGSTOP);
         site.note("host " + stopped.name + " stands still");
-        site.runFor(Millis(20));
         site.kill(killed);
         site.runFor(Millis(100));
         site.start(killed);
@@ -92,12 +92,12 @@
     for (const auto& it : sendOrders(site, "second-"))
         sent.push_back(it);
     if (hasTrouble()) {
-        site.runFor(Millis(150));
+        site.runFor(Millis(60));
         site.hosts()[1]->process->signal(SIGCONT);
         site.note("host " + site.hosts()[1]->name + " goes on");
     }
-    site.runUntil([&] { return std::all_of(sent.begin(), sent.end(), [](const auto& it) { return it->done; }); },
-        Millis(10000));
+    site.runUntil(
+        [&] { return std::all_of(sent.begin(), sent.end(), [](const auto& it) { return it->done; }); }, Millis(10000));
     site.runFor(Millis(4000)); // until no order can run any more
 
     int served = 0, broken = 0;
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -81,8 +81,8 @@
     }
     host.isFirstStart = false;
     setenv("PISTACHIOSPUR_SETTINGS", host.settingsPath.c_str(), 1);
-    host.process = std::make_unique<Process>(
-        std::vector<std::string> { kProgram }, m_folder + "/" + host.name + ".log", false);
+    host.process
+        = std::make_unique<Process>(std::vector<std::string> { kProgram }, m_folder + "/" + host.name + ".log", false);
     note("host " + host.name + " started");
 }
 
