Requests: a restarted host numbers what it forwards anew (MIXED, REFUSED)

Cause: forwarded requests were numbered from 1 in each life of a process, and a reply is matched by that number alone. The coordinator keeps an order that already runs, and replies to the host's name; the new life has a request of the same number.

Why it works: a process begins at a number that is a hash of its incarnation, of 51 bits. Two lives overlap only if they begin within as many numbers as one of them counts, so that no reply to an earlier life fits, whatever the build of the coordinator. The time of day orders nothing: equal incarnations would need the same time, boot clock and process id.

--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -1,6 +1,7 @@
 #include "frontend.h"
 
 #include "observe/events.h"
+#include "peers/relay_id.h"
 #include "quarantine_monitor.h"
 
 #include <algorithm>
@@ -72,6 +73,7 @@
     : m_context(context)
     , m_dispatcher(dispatcher)
     , m_random(context.incarnation.value)
+    , m_nextId(firstRequestNumber(context.incarnation, kAttemptBits))
 {
 }
 
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -107,7 +107,7 @@
     std::map<ServiceName, std::vector<GroupLoad>> m_groupLoads; // by group
     SplitState m_splitState;
     std::mt19937_64 m_random;
-    RequestId m_nextId = 1;
+    RequestId m_nextId;
 };
 
 } // namespace pistachiospur
--- a/tests/raw_site.cpp
+++ b/tests/raw_site.cpp
@@ -81,7 +81,8 @@
 void RawSite::addHost(std::int64_t graceMs)
 {
     GatewaySettings settings;
-    settings.host = "h" + std::to_string(gateways.size());
+    const std::size_t host = m_settings.size();
+    settings.host = "h" + std::to_string(host);
     settings.dataCentre = "z1";
     settings.callers = reservePort();
     settings.ready = reservePort();
@@ -91,10 +92,23 @@
     for (const auto& it : gatewayOptions())
         settings.limits.*it.field = it.defaultValue;
     settings.limits.graceMs = graceMs;
-    gateways.push_back(std::make_unique<Gateway>(settings, "", platform::kvPlatformAdapter()));
-    gateways.back()->start();
     callerEndpoints.push_back(settings.callers);
     peerEndpoints.push_back(settings.peers);
+    m_settings.push_back(settings);
+    gateways.emplace_back();
+    start(host);
+}
+
+void RawSite::start(std::size_t host)
+{
+    gateways[host] = std::make_unique<Gateway>(m_settings[host], "", platform::kvPlatformAdapter());
+    gateways[host]->start();
+}
+
+void RawSite::restart(std::size_t host)
+{
+    gateways[host].reset();
+    start(host);
 }
 
 bool RawSite::runLoopUntil(const std::function<bool()>& condition, Millis timeout)
--- a/tests/raw_site.h
+++ b/tests/raw_site.h
@@ -27,6 +27,8 @@
     HttpAnswer sendCall(HttpCall);
     // Repeats requests until every host serves both services; the ids of these requests begin with "warm".
     bool waitUntilServed();
+    // Ends a host's process as a kill does and starts it again under its name and addresses.
+    void restart(std::size_t host);
     std::size_t runCount(const std::string& id) const { return keyed.runCount(id) + pooled.runCount(id); }
 
     standin::KvStandin store;
@@ -40,7 +42,9 @@
 private:
     Endpoint reservePort();
     void addHost(std::int64_t graceMs);
+    void start(std::size_t host);
 
+    std::vector<GatewaySettings> m_settings; // of the hosts
     std::vector<int> m_reservedPorts;
 };
 
