--- a/src/daemon/context.cpp
+++ b/src/daemon/context.cpp
@@ -19,7 +19,7 @@
     , m_onMessage(handlers.onMessage)
     , m_selfTimer([this] {
         for (auto messages = std::exchange(m_messagesToSelf, {}); !messages.empty(); messages.pop_front())
-            m_onMessage(self.host, kNoLink, std::move(messages.front()));
+            m_onMessage({ self.host, self.incarnation }, kNoLink, std::move(messages.front()));
     })
 {
     members.self = settings.host;
--- a/src/daemon/context.h
+++ b/src/daemon/context.h
@@ -37,7 +37,7 @@
     bool stopping = false; // changed by Daemon
 
 private:
-    std::function<void(const HostName&, LinkId, Message)> m_onMessage;
+    std::function<void(const HostLife&, LinkId, Message)> m_onMessage;
     std::deque<Message> m_messagesToSelf; // not yet delivered
     Timer m_selfTimer;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -51,7 +51,7 @@
 
 PeerHub::Handlers Daemon::peerHandlers()
 {
-    return { [this](const HostName& from, LinkId, Message message) { onMessage(from, std::move(message)); },
+    return { [this](const HostLife& from, LinkId, Message message) { onMessage(from, std::move(message)); },
         [this](const LostLink& lost) { m_frontend.onLinkLost(lost); },
         [this](const HostName& host) -> std::optional<Endpoint> {
             const auto* found = findHost(m_context.members, host);
@@ -81,8 +81,9 @@
 } // namespace
 
 // Passes each message, also one that this host has sent to itself, to the part that handles it.
-void Daemon::onMessage(const HostName& from, Message message)
+void Daemon::onMessage(const HostLife& sender, Message message)
 {
+    const HostName& from = sender.host;
     std::visit(
         Overloaded {
             [&](const Hello& it) { onDirectMessage(m_context.members, from, it.incarnation, false, monotonicNow()); },
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -22,7 +22,7 @@
 
 private:
     PeerHub::Handlers peerHandlers();
-    void onMessage(const HostName& from, Message);
+    void onMessage(const HostLife& from, Message);
     void onRelay(const HostName& from, Relay);
     void onChange();
     void beginStop();
--- a/src/daemon/frontend.cpp
+++ b/src/daemon/frontend.cpp
@@ -1,6 +1,7 @@
 #include "frontend.h"
 
 #include "config/fields.h"
+#include "peers/relay_id.h"
 
 #include <algorithm>
 
@@ -55,6 +56,7 @@
 Frontend::Frontend(HostContext& context, Coordinators& coordinators)
     : m_context(context)
     , m_coordinators(coordinators)
+    , m_nextId(firstRequestNumber(context.self.incarnation, kAttemptBits))
 {
 }
 
--- a/src/daemon/frontend.h
+++ b/src/daemon/frontend.h
@@ -52,7 +52,7 @@
     HostContext& m_context;
     Coordinators& m_coordinators;
     std::unordered_map<RequestId, std::unique_ptr<Pending>> m_pending;
-    RequestId m_nextId = 1;
+    RequestId m_nextId;
     RankBudgets m_budgets;
     RetryBudget m_retryBudget;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,7 +87,7 @@
 
 PeerHub::Handlers Gateway::peerHandlers()
 {
-    return { [this](const HostName& from, LinkId link, Message message) { onMessage(from, link, std::move(message)); },
+    return { [this](const HostLife& from, LinkId link, Message message) { onMessage(from, link, std::move(message)); },
         [this](const LostLink& lost) { onLinkLost(lost); },
         [this](const HostName& host) -> std::optional<Endpoint> {
             const auto it = m_context.directory.hosts().find(host);
@@ -168,8 +168,9 @@
     return leads || m_dispatcher.hasWaiting() || !m_context.directory.hasHostEntry();
 }
 
-void Gateway::onMessage(const HostName& from, LinkId link, Message message)
+void Gateway::onMessage(const HostLife& sender, LinkId link, Message message)
 {
+    const HostName& from = sender.host;
     std::visit(
         Overloaded {
             [&](const Hello& received) {
@@ -180,14 +181,14 @@
                 }
             },
             [&](ReachReport& received) { m_reachMonitor.onReport(from, std::move(received)); },
-            [&](Relay& received) { onRelay(from, link, std::move(received)); },
+            [&](Relay& received) { onRelay(sender, link, std::move(received)); },
             [&](RelayReply& received) { m_frontend.onRelayReply(from, std::move(received)); },
             [&](const RelayCancel& received) {
-                onRelayCancel({ from, received.id });
+                onRelayCancel({ sender, received.id });
             },
             [&](const RelayTurn& received) { m_frontend.onTurn(from, received); },
             [&](RelayTurnOver& received) {
-                onTurnOver({ from, received.id }, std::move(received.reply), received.rate, received.pause);
+                onTurnOver({ sender, received.id }, std::move(received.reply), received.rate, received.pause);
             },
             [&](const LoadReport& report) {
                 const auto leader = m_leaders.find(report.service);
@@ -215,25 +216,37 @@
         message);
 }
 
-void Gateway::onRelay(const HostName& from, LinkId link, Relay relay)
+// Replies to a request that another host forwarded. A host that has started again meanwhile has no such request.
+void Gateway::replyToRelay(const RelayKey& key, Reply reply, Millis wait)
+{
+    const auto& [sender, id] = key;
+    const auto* answer = std::get_if<Answer>(&reply);
+    const Lane lane = answer && answer->body.size() > kMaxControlBodyBytes ? Lane::bulk : Lane::control;
+    if (m_context.hub.sendToLife(sender, RelayReply { id, std::move(reply), wait }, lane))
+        return;
+    m_context.metrics.count("pistachiospur_dropped_replies_total");
+    logEvent(EventKind::request, "reply_dropped",
+        { { "peer", sender.host }, { "incarnation", sender.incarnation.value }, { "relay", id } });
+}
+
+void Gateway::onRelay(const HostLife& from, LinkId link, Relay relay)
 {
     const Millis now = monotonicNow();
     relay.request.deadline += now;
     // Earlier builds send no fingerprint.
     if (relay.request.fingerprint == 0 && !relay.turnOnly)
         relay.request.fingerprint = fingerprintOf(m_context, relay.request, relay.request.body.size());
+    const RelayKey key(from, relay.id);
     const PlannedStop& stop = m_context.stop;
     if (m_context.stopping && (now >= stop.requestedAt + kPeerNoticeTime || !mayPassOn(stop, relay.request.deadline))) {
-        m_context.hub.send(from, RelayReply { relay.id, notRun(RefusalReason::stopping), Millis(0) });
+        replyToRelay(key, notRun(RefusalReason::stopping), Millis(0));
         return;
     }
-    const RelayKey key(from, relay.id);
     RelayedRequest relayed;
     relayed.link = link;
     const auto charge = std::make_shared<BodyCharge>(m_context.bodyBudget);
     if (!charge->take(relay.request.body.size())) {
-        m_context.hub.send(
-            from, RelayReply { relay.id, notRun(RefusalReason::memoryFull, kMemoryRetryAfter), Millis(0) });
+        replyToRelay(key, notRun(RefusalReason::memoryFull, kMemoryRetryAfter), Millis(0));
         return;
     }
     relayed.bodyCharge = charge;
@@ -246,22 +259,19 @@
         const auto found = m_relayedRequests.find(key);
         const bool hadTurn = found != m_relayedRequests.end() && found->second.hadTurn;
         m_relayedRequests.erase(key);
-        if (hadTurn)
-            return;
-        const auto* answer = std::get_if<Answer>(&reply);
-        const Lane lane = answer && answer->body.size() > kMaxControlBodyBytes ? Lane::bulk : Lane::control;
-        m_context.hub.send(key.first, RelayReply { key.second, std::move(reply), waitAfter() }, lane);
+        if (!hadTurn)
+            replyToRelay(key, std::move(reply), waitAfter());
     };
     // The entry exists before the request is queued, because the turn may come at once.
     m_relayedRequests[key] = std::move(relayed);
     const RequestOrigin origin { relay.turnOnly ? relay.origin : m_context.settings.dataCentre, relay.hasLargeBody,
-        relay.turnOnly ? from : m_context.settings.host };
+        relay.turnOnly ? from.host : m_context.settings.host };
     const auto job = relay.turnOnly
         ? m_dispatcher.submitForTurn(
             relay.upstream, std::move(relay.request), onReply,
             [this, key, waitAfter](const InstanceId& instance) {
                 m_relayedRequests.at(key).hadTurn = true;
-                m_context.hub.send(key.first, RelayTurn { key.second, instance, waitAfter() });
+                m_context.hub.sendToLife(key.first, RelayTurn { key.second, instance, waitAfter() });
             },
             origin)
         : m_dispatcher.submit(relay.upstream, std::move(relay.request), onReply, {}, origin);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,10 +37,12 @@
         bool hadTurn = false; // its sender sends it to the upstream itself, and was told to
         std::shared_ptr<void> bodyCharge;
     };
-    using RelayKey = std::pair<HostName, std::uint64_t>; // sender and relay id
+    // Sender and relay id. Senders of earlier builds use the same ids in each life.
+    using RelayKey = std::pair<HostLife, std::uint64_t>;
 
-    void onMessage(const HostName& from, LinkId, Message);
-    void onRelay(const HostName& from, LinkId, Relay);
+    void onMessage(const HostLife& from, LinkId, Message);
+    void onRelay(const HostLife& from, LinkId, Relay);
+    void replyToRelay(const RelayKey&, Reply, Millis wait);
     void onRelayCancel(const RelayKey&);
     void onTurnOver(const RelayKey&, Reply, const RateNotice&, Millis pause);
     void onLinkLost(const LostLink&);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -26,6 +26,8 @@
             "time from the arrival of a caller's request to its answer, by service and rank" },
         { "pistachiospur_late_replies_total", "counter",
             "replies dropped because their request or attempt had already ended" },
+        { "pistachiospur_dropped_replies_total", "counter",
+            "replies not sent because no link was left to the process that had forwarded the request" },
         { "pistachiospur_upstream_notices_total", "counter",
             "answers by which upstreams began to leave or to be paused, by kind" },
         { "pistachiospur_reach_probes_total", "counter",
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -128,6 +128,49 @@
     return link;
 }
 
+// The open link of a lane to one life of a host that received data last.
+Link* PeerHub::openLinkToLife(const HostLife& to, Lane lane)
+{
+    Link* best = nullptr;
+    for (const auto& it : m_links) {
+        const bool matches = it->isOpen() && it->incarnation == to.incarnation && it->peer == to.host
+            && it->isBulk == (lane == Lane::bulk);
+        if (matches && (!best || best->lastReceived() < it->lastReceived()))
+            best = it.get();
+    }
+    return best;
+}
+
+// Queues a frame on the link to a host until the host's Hello shows which life it is. False if that is known to be
+// another one, or the frame finds no room.
+bool PeerHub::queueForLife(const HostLife& to, Lane lane, const std::string& frame)
+{
+    Outgoing* out = openOutgoing({ to.host, lane });
+    if (!out || out->link->incarnation)
+        return false;
+    if (out->queuedForLife.size() >= kMaxQueuedFrames || out->queuedBytes + frame.size() > m_maxBacklogBytes)
+        return false;
+    out->queuedForLife.emplace_back(to.incarnation, frame);
+    out->queuedBytes += frame.size();
+    return true;
+}
+
+// A life without a link has given up what it asked for. One with a link on the other lane gets one on this lane too, or
+// the message on the other lane if the host's link on this one is to another life.
+bool PeerHub::sendToLife(const HostLife& to, const Message& message, Lane lane)
+{
+    Link* wanted = openLinkToLife(to, lane);
+    Link* other = wanted ? nullptr : openLinkToLife(to, lane == Lane::control ? Lane::bulk : Lane::control);
+    if ((!wanted && !other) || !isReadBy(to.host, message))
+        return false;
+    const std::string frame = encode(message);
+    countSent(message, frame);
+    if (!wanted && queueForLife(to, lane, frame))
+        return true;
+    sendOn(*(wanted ? wanted : other), frame, false);
+    return true;
+}
+
 bool PeerHub::sendVia(LinkId id, const Message& message)
 {
     const auto found = std::find_if(m_links.begin(), m_links.end(),
@@ -236,10 +279,42 @@
     for (const auto& frame : it->second.queued)
         link.send(frame, false);
     it->second.queued = {};
-    it->second.queuedBytes = 0;
     it->second.opened = true;
 }
 
+// Notes whose link it is and sends what waited for that. False if the link can't be of that life: it was opened to
+// another host, or a Hello has named another life on it.
+bool PeerHub::takeHello(Link& link, const Hello& hello)
+{
+    const bool isOther = (!link.peer.empty() && link.peer != hello.host)
+        || (link.incarnation && link.incarnation != hello.incarnation);
+    if (isOther)
+        return false;
+    const bool outgoing = !link.peer.empty();
+    link.peer = hello.host;
+    link.incarnation = hello.incarnation;
+    m_kindsRead[link.peer] = std::max(kBaselineKinds, hello.kinds);
+    if (!outgoing) {
+        link.isBulk = hello.isBulk;
+        m_incoming[{ link.peer, link.isBulk ? Lane::bulk : Lane::control }] = &link;
+        return true;
+    }
+    const auto out = m_outgoing.find({ link.peer, link.isBulk ? Lane::bulk : Lane::control });
+    if (out == m_outgoing.end() || out->second.link != &link)
+        return true;
+    out->second.queuedBytes = 0;
+    std::size_t dropped = 0;
+    for (const auto& [incarnation, frame] : std::exchange(out->second.queuedForLife, {})) {
+        if (incarnation == hello.incarnation)
+            sendOn(link, frame, false);
+        else
+            ++dropped;
+    }
+    if (dropped > 0)
+        logEvent(EventKind::state, "replies_to_earlier_life", { { "peer", link.peer }, { "dropped", dropped } });
+    return true;
+}
+
 void PeerHub::onFrame(Link& link, const std::string& frame)
 {
     auto message = decode(frame);
@@ -255,30 +330,26 @@
         return;
     }
     if (const auto* hello = std::get_if<Hello>(&*message)) {
-        const bool outgoing = !link.peer.empty();
-        if (outgoing && link.peer != hello->host) {
+        if (!takeHello(link, *hello)) {
+            logEvent(EventKind::state, "hello_refused", { { "peer", link.peer }, { "named", hello->host } });
             link.close();
             return;
         }
-        link.peer = hello->host;
-        m_kindsRead[link.peer] = std::max(kBaselineKinds, hello->kinds);
-        if (!outgoing) {
-            link.isBulk = hello->isBulk;
-            m_incoming[{ link.peer, link.isBulk ? Lane::bulk : Lane::control }] = &link;
-        }
     }
-    // A build that does not say what it reads reads at least what it sends.
-    if (!link.peer.empty()) {
-        std::size_t& kinds = m_kindsRead[link.peer];
-        kinds = std::max(kinds, message->index() + 1);
+    if (!link.incarnation) {
+        logEvent(EventKind::state, "message_before_hello", { { "peer", link.peer }, { "kind", message->index() } });
+        link.close();
+        return;
     }
+    // A build that does not say what it reads reads at least what it sends.
+    std::size_t& kinds = m_kindsRead[link.peer];
+    kinds = std::max(kinds, message->index() + 1);
     if (std::holds_alternative<RelayReply>(*message) || std::holds_alternative<RelayTurn>(*message)) {
         const auto due = m_repliesDue.find(link.peer);
         if (due != m_repliesDue.end() && --due->second == 0)
             m_repliesDue.erase(due);
     }
-    if (!link.peer.empty())
-        m_handlers.onMessage(link.peer, link.ids.front(), std::move(*message));
+    m_handlers.onMessage({ link.peer, *link.incarnation }, link.ids.front(), std::move(*message));
 }
 
 void PeerHub::onClose(Link& link)
--- a/src/peers/hub.h
+++ b/src/peers/hub.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 
 // All links between this host and other hosts. The hub opens links when they are needed and delivers each decoded
 // message with its sender's name.
@@ -20,6 +22,22 @@
 // The link id of messages that a host sends to itself.
 constexpr LinkId kNoLink = 0;
 
+// One life of a host: a process from its start to its end. A host's name and addresses outlive it.
+struct HostLife {
+    HostName host;
+    Incarnation incarnation;
+
+    friend bool operator==(const HostLife& a, const HostLife& b)
+    {
+        return a.incarnation == b.incarnation && a.host == b.host;
+    }
+    friend bool operator!=(const HostLife& a, const HostLife& b) { return !(a == b); }
+    friend bool operator<(const HostLife& a, const HostLife& b)
+    {
+        return std::tie(a.host, a.incarnation) < std::tie(b.host, b.incarnation);
+    }
+};
+
 struct LostLink {
     HostName host;
     std::vector<LinkId> links; // ids whose messages may have arrived
@@ -44,7 +62,7 @@
 class PeerHub {
 public:
     struct Handlers {
-        std::function<void(const HostName& from, LinkId, Message)> onMessage;
+        std::function<void(const HostLife& from, LinkId, Message)> onMessage;
         std::function<void(const LostLink&)> onLost;
         std::function<std::optional<Endpoint>(const HostName&)> findEndpoint;
     };
@@ -57,6 +75,9 @@
     // Sends a message and opens a link if there is none. Returns the id under which its loss would be reported, or
     // nothing if the message is not sent: the host's endpoint is not known, or too much waits for the link to open.
     std::optional<LinkId> send(const HostName& to, const Message&, Lane = Lane::control);
+    // Sends a message that concerns one life of a host, such as the reply to its request; another life would take it
+    // for something else. False if it is not sent: no link to that life is left.
+    bool sendToLife(const HostLife& to, const Message&, Lane = Lane::control);
     // Sends a message on the link that has this id, behind what was sent there before. False if the link is closed.
     bool sendVia(LinkId, const Message&);
     // Sends one message to several hosts. It is encoded only once.
@@ -82,7 +103,8 @@
     struct Outgoing {
         Link* link = nullptr;
         std::deque<std::string> queued; // frames to send when the link opens
-        std::size_t queuedBytes = 0;
+        std::deque<std::pair<Incarnation, std::string>> queuedForLife; // to send if the peer's Hello names that life
+        std::size_t queuedBytes = 0; // of both
         bool opened = false;
     };
 
@@ -96,6 +118,9 @@
     Link* openLinkTo(const LinkKey&);
     Outgoing* openOutgoing(const LinkKey&);
     bool isLinked(const HostName&) const;
+    Link* openLinkToLife(const HostLife&, Lane);
+    bool queueForLife(const HostLife&, Lane, const std::string& frame);
+    bool takeHello(Link&, const Hello&);
     LinkId sendOn(Link&, const std::string& frame, bool proven);
     std::optional<LinkId> sendFrame(const LinkKey&, const std::string& frame, bool proven);
     void countSent(const Message&, const std::string& frame);
--- a/src/peers/link.h
+++ b/src/peers/link.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,7 @@
     virtual void check(Millis now, bool expectsReply) = 0;
 
     HostName peer; // on an incoming link, empty until its Hello
+    std::optional<Incarnation> incarnation; // of the peer's process; nothing until its Hello
     // Ids of the link, assigned by the owner and never reused, newest last. Messages that wait for a proof get a new
     // one; while isHolding() those of the last id are not sent.
     std::vector<std::uint64_t> ids;
--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -170,7 +170,7 @@
     settings.peers = { "127.0.0.1", 0 };
     for (const auto& it : gatewayOptions())
         settings.limits.*it.field = it.defaultValue;
-    const PeerHub::Handlers handlers { [](const HostName&, LinkId, const Message&) {}, [](const LostLink&) {},
+    const PeerHub::Handlers handlers { [](const HostLife&, LinkId, const Message&) {}, [](const LostLink&) {},
         [](const HostName&) { return std::nullopt; } };
     GatewayContext context(settings, platform::kvPlatformAdapter(), handlers);
     CatchUp catchUp(context);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -358,7 +358,7 @@
     std::vector<std::unique_ptr<PeerHub>> silentHosts; // answer on their links, but never relay a change
     for (int n = 0; n < kSilentHosts; ++n) {
         const HostName name = "silent" + std::to_string(n);
-        const PeerHub::Handlers handlers { [](const HostName&, LinkId, const Message&) {}, nullptr,
+        const PeerHub::Handlers handlers { [](const HostLife&, LinkId, const Message&) {}, nullptr,
             [](const HostName&) { return std::nullopt; } };
         silentHosts.push_back(
             std::make_unique<PeerHub>(Endpoint { "127.0.0.1", 0 }, Hello { name, { 1 }, false }, handlers));
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -34,7 +34,7 @@
     // `kinds` is what it says that it reads.
     explicit Host(const HostName& name, std::size_t kinds = kMessageKinds)
         : hub({ "127.0.0.1", 0 }, Hello { name, { 1 }, false, kinds },
-            { [this](const HostName&, LinkId, Message message) { received.push_back(std::move(message)); },
+            { [this](const HostLife&, LinkId, Message message) { received.push_back(std::move(message)); },
                 [this](const LostLink& link) { lost.push_back(link); },
                 [this](const HostName& host) -> std::optional<Endpoint> {
                     const auto it = endpoints.find(host);
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -162,7 +162,7 @@
     BOOST_REQUIRE(site.waitUntilServed());
     std::map<std::uint64_t, Reply> replies;
     PeerHub peer({ "127.0.0.1", 0 }, Hello { "peer", { 1 }, false },
-        { [&](const HostName&, LinkId, Message message) {
+        { [&](const HostLife&, LinkId, Message message) {
              if (auto* it = std::get_if<RelayReply>(&message))
                  replies[it->id] = std::move(it->reply);
          },
