--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -97,10 +97,10 @@
             [&](const ReleaseQuery& it) { m_context.send(from, m_coordinators.reportRelease(it.upstream)); },
             [&](const ReleaseReport& it) { m_planner.onReleaseReport(from, it); },
             [&](const HostListUpdate& it) { m_heartbeats.onHostListUpdate(it.change); },
-            [&](Relay& it) { onRelay(from, std::move(it)); },
+            [&](Relay& it) { onRelay(sender, std::move(it)); },
             [&](RelayReply& it) { m_frontend.onRelayReply(from, std::move(it)); },
             [&](const RelayCancel& it) {
-                const auto found = m_relayed.find({ from, it.id });
+                const auto found = m_relayed.find({ sender, it.id });
                 if (found != m_relayed.end())
                     m_coordinators.cancel(found->second);
             },
@@ -118,13 +118,15 @@
         message);
 }
 
-void Daemon::onRelay(const HostName& from, Relay relay)
+void Daemon::onRelay(const HostLife& from, Relay relay)
 {
     relay.request.deadline += monotonicNow();
     const auto key = std::pair(from, relay.id);
     const auto job = m_coordinators.submit(relay.upstream, std::move(relay.request), [this, key](Reply reply) {
         m_relayed.erase(key);
-        m_context.send(key.first, RelayReply { key.second, std::move(reply) });
+        // A host that has started again meanwhile has no such request.
+        if (!m_context.hub.sendToLife(key.first, RelayReply { key.second, std::move(reply) }))
+            m_context.metrics.count("pistachiospur_dropped_replies_total");
     });
     if (job)
         m_relayed[key] = job;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -23,7 +23,7 @@
 private:
     PeerHub::Handlers peerHandlers();
     void onMessage(const HostLife& from, Message);
-    void onRelay(const HostName& from, Relay);
+    void onRelay(const HostLife& from, Relay);
     void onChange();
     void beginStop();
     void checkStopped();
@@ -45,7 +45,7 @@
     SignalWatcher m_sigterm;
     SignalWatcher m_sigint;
     SignalWatcher m_sighup;
-    std::map<std::pair<HostName, std::uint64_t>, Coordinators::JobId> m_relayed; // by sending host and relay id
+    std::map<std::pair<HostLife, std::uint64_t>, Coordinators::JobId> m_relayed; // by sender and relay id
     Millis m_stopDeadline {};
 };
 
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE site
+#include "peer_life.h"
 #include "standins/site.h"
 
 #include <boost/test/unit_test.hpp>
@@ -295,4 +296,47 @@
     checkJournal();
 }
 
+// Guards against an answer that reaches another request: its host was killed, started again and has a request of the
+// same number, as hosts of earlier builds number them.
+BOOST_AUTO_TEST_CASE(newLifeOfAHostGetsNoAnswerToTheLifeBefore)
+{
+    const std::string key = keyName(0);
+    const Json owner = site.call(host("h1").admin, "GET", "/owner?service=atelier&key=" + key).json();
+    const std::string upstream = owner["owner"], coordinator = coordinatorOf(upstream);
+    BOOST_REQUIRE(!coordinator.empty());
+    const auto connect = [&](std::uint64_t incarnation) {
+        auto life = std::make_unique<PeerLife>(site.hosts().at(coordinator).peers, "peer", Incarnation { incarnation });
+        BOOST_REQUIRE(site.waitFor([&] { return !life->all<Hello>().empty(); }, kWaitTimeout));
+        return life;
+    };
+    const auto relay = [&](PeerLife& life, const std::string& path) {
+        Relay it;
+        it.id = 1u << 16 | 1; // of the first request of a life, by an earlier build
+        it.upstream = upstream;
+        it.request.service = "atelier";
+        it.request.key = key;
+        it.request.slot = SlotId { owner["slot"].get<std::uint32_t>() };
+        it.request.rank = "preview";
+        it.request.idempotent = true;
+        it.request.deadline = Millis(5000);
+        it.request.method = "GET";
+        it.request.target = path;
+        it.request.headers = { { "x-run-ms", "400" } };
+        life.send(it);
+    };
+    auto first = connect(1);
+    relay(*first, "/first");
+    site.waitFor([] { return false; }, Millis(50));
+    first->end();
+    auto second = connect(2);
+    relay(*second, "/second");
+    BOOST_TEST(site.waitFor([&] { return !second->all<RelayReply>().empty(); }, kWaitTimeout));
+    site.waitFor([] { return false; }, Millis(800));
+    const auto replies = second->all<RelayReply>();
+    BOOST_TEST(replies.size() == 1u);
+    const auto* answer = std::get_if<Answer>(&replies.at(0).reply);
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->body.find("second") != std::string::npos, answer->body);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
