Copies: the answer to a question goes to the process that asked (CONFIG)

What callers would see: a configuration that counts as fresher than it is, on a host that has just started again.

Cause: the answer has a time of the boot clock of the process that asked, and went to the host's name. After a loss of power the next process has another boot clock, and would take the answer's way for shorter than it was.

Why it works: as for replies to forwarded requests, the answer is sent only on links to the life that asked.

--- a/src/gateway/catch_up.cpp
+++ b/src/gateway/catch_up.cpp
@@ -105,7 +105,9 @@
     tick();
 }
 
-void CatchUp::onRequest(const HostName& from, const ReplicaRequest& request)
+// The answer is for the process that asked: it has a time of that process's boot clock, and another one might take it
+// for the answer to a question of its own.
+void CatchUp::onRequest(const HostLife& from, const ReplicaRequest& request)
 {
     const Directory& directory = m_context.directory;
     const Millis now = bootNow();
@@ -120,7 +122,7 @@
             answer.keys = std::move(list.keys);
         }
     }
-    m_context.hub.send(from, answer);
+    m_context.hub.sendToLife(from, answer);
 }
 
 void CatchUp::onBatch(const HostName& from, const ReplicaBatch& answer)
--- a/src/gateway/catch_up.h
+++ b/src/gateway/catch_up.h
@@ -28,7 +28,7 @@
     void tick();
     // A batch from this host does not follow the copy's revision.
     void onGap(const HostName& relay);
-    void onRequest(const HostName& from, const ReplicaRequest&);
+    void onRequest(const HostLife& from, const ReplicaRequest&);
     void onBatch(const HostName& from, const ReplicaBatch&);
     // The age of a watching host's copy, as far as this host's own clock shows: what the update spent on its way
     // counts. Nothing while the sender's clock is not known; asks the sender for it.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,7 +206,7 @@
                     leader->second->onLeaderSteppedDown(from, received);
             },
             [&](const WatchUpdate& received) { m_watcher.onWatchUpdate(from, received); },
-            [&](const ReplicaRequest& received) { m_catchUp.onRequest(from, received); },
+            [&](const ReplicaRequest& received) { m_catchUp.onRequest(sender, received); },
             [&](const ReplicaBatch& received) { m_catchUp.onBatch(from, received); },
             [&](const HostLeaving& received) { m_context.directory.markHostLeaving(from, received.incarnation); },
             [&](const UpstreamDeparture& received) { takeDeparture(m_context, from, received); },
