Reach: a report of a life that has ended says nothing of the next

What callers would see: a host is left out for the upstreams that it had lost before it was killed, until its next link.

Cause: reports are kept by the host's name and cleared by its Hello. One of the life before that is read after the Hello of the next life, as when the host that reads stood still, stays.

Evidence: reportOfTheLifeBeforeSaysNothingOfTheNext failed on the code before ("isRelayed("after") has failed") and passes now.

Why it works: of the links to one host the one that was made last is to its latest life, in the order of connections and without any clock; a report of another life is ignored.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -180,7 +180,7 @@
                     m_catchUp.onLinkOpened(from);
                 }
             },
-            [&](ReachReport& received) { m_reachMonitor.onReport(from, std::move(received)); },
+            [&](ReachReport& received) { m_reachMonitor.onReport(sender, std::move(received)); },
             [&](Relay& received) { onRelay(sender, link, std::move(received)); },
             [&](RelayReply& received) { m_frontend.onRelayReply(from, std::move(received)); },
             [&](const RelayCancel& received) {
--- a/src/gateway/reach_monitor.cpp
+++ b/src/gateway/reach_monitor.cpp
@@ -145,14 +145,18 @@
     });
 }
 
-void ReachMonitor::onReport(const HostName& from, ReachReport report)
+// A report of a life that has ended may be read after the Hello of the next one, which would not take it back.
+void ReachMonitor::onReport(const HostLife& from, ReachReport report)
 {
+    if (!m_context.hub.isLatest(from))
+        return;
     logEvent(EventKind::state, "reach_of_peer",
-        { { "peer", from }, { "lost_services", report.services }, { "lost_upstreams", namesOf(report.upstreams) } });
+        { { "peer", from.host }, { "lost_services", report.services },
+            { "lost_upstreams", namesOf(report.upstreams) } });
     if (report.empty())
-        m_context.lostByHost.erase(from);
+        m_context.lostByHost.erase(from.host);
     else
-        m_context.lostByHost[from] = std::move(report);
+        m_context.lostByHost[from.host] = std::move(report);
 }
 
 void ReachMonitor::onLinkOpened(const HostName& host)
--- a/src/gateway/reach_monitor.h
+++ b/src/gateway/reach_monitor.h
@@ -17,7 +17,7 @@
     // Tests what has failed, and reports changes.
     void tick();
     // Another host has reported what it has lost.
-    void onReport(const HostName& from, ReachReport);
+    void onReport(const HostLife& from, ReachReport);
     // A link to another host has opened: its process may be another one, and may not know this host's last report.
     void onLinkOpened(const HostName&);
 
--- a/src/peers/hub.cpp
+++ b/src/peers/hub.cpp
@@ -226,6 +226,17 @@
     return std::any_of(m_links.begin(), m_links.end(), [&](const auto& it) { return it->peer == host; });
 }
 
+bool PeerHub::isLatest(const HostLife& life) const
+{
+    const Link* latest = nullptr;
+    for (const auto& it : m_links) {
+        const bool isLater = !latest || latest->ids.front() < it->ids.front();
+        if (it->incarnation && it->peer == life.host && isLater)
+            latest = it.get();
+    }
+    return !latest || latest->incarnation == life.incarnation;
+}
+
 std::optional<Millis> PeerHub::lastReceivedFrom(const HostName& host) const
 {
     std::optional<Millis> last;
--- a/src/peers/hub.h
+++ b/src/peers/hub.h
@@ -86,6 +86,8 @@
     // Whether a host is known to read a message. If it is not, send() opens a link and does not send the message; the
     // host's Hello tells what it reads.
     bool isReadBy(const HostName&, const Message&) const;
+    // Whether no link to a later life of the host is known, by the order in which links were made.
+    bool isLatest(const HostLife&) const;
     // When bytes last arrived from a host, on the monotonic clock; nothing without a link to it.
     std::optional<Millis> lastReceivedFrom(const HostName&) const;
     struct Traffic {
--- a/tests/lives_test.cpp
+++ b/tests/lives_test.cpp
@@ -169,6 +169,35 @@
     BOOST_TEST(it.second->all<ReplicaBatch>().empty());
 }
 
+// Guards against a host that is avoided for good, because a report of its life before was read after the Hello of the
+// next one.
+BOOST_AUTO_TEST_CASE(reportOfTheLifeBeforeSaysNothingOfTheNext)
+{
+    RawSite site(1, answerSlowly);
+    std::size_t relayed = 0;
+    PeerHub coordinator({ "127.0.0.1", 0 }, Hello { kPeer, { 2 }, false },
+        { [&](const auto&, LinkId, Message message) { relayed += std::holds_alternative<Relay>(message); }, nullptr,
+            [&](const HostName&) { return std::optional(site.peerEndpoints[0]); } });
+    PeerLife before(site.peerEndpoints[0], kPeer, Incarnation { 1 });
+    BOOST_REQUIRE(RawSite::runLoopUntil([&] { return !before.all<Hello>().empty(); }));
+    coordinator.send("h0", ReachReport {});
+    RawSite::runLoopFor(Millis(50));
+    site.store.put("pistachiospur/hosts/peer",
+        nlohmann::json { { "data_centre", "z1" }, { "address", "127.0.0.1" }, { "port", coordinator.port() },
+            { "incarnation", 2 }, { "weight", 4096 }, { "leaving", false } }
+            .dump());
+    const auto isRelayed = [&](const std::string& id) {
+        const auto count = [&] { return relayed + before.all<Relay>().size(); };
+        const std::size_t n = count();
+        site.client.start(site.call("/unsafe/x", id, 0), [](const HttpOutcome&) {});
+        return RawSite::runLoopUntil([&] { return count() > n; }, Millis(300));
+    };
+    BOOST_REQUIRE(RawSite::runLoopUntil([&] { return isRelayed("warm"); }));
+    before.send(ReachReport { { "keyed" }, {} });
+    RawSite::runLoopFor(Millis(50));
+    BOOST_TEST(isRelayed("after"));
+}
+
 // Guards against the answer to a stranger's request (MIXED) from a coordinator
 // of an earlier build, which sends it to the host's name: the host has started
 // again, and its requests must have numbers that no life before has used.
