--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -14,6 +14,9 @@
 
 // A head that is larger than this, interim responses included, is no answer of an upstream.
 constexpr std::size_t kMaxAnswerHeadBytes = 128u << 10;
+constexpr unsigned kMaxAnswerHeadLines = 1000; // interim responses and trailers included
+// What a line of a head takes beside its text: libcurl keeps a copy of each, and the map of headers has a node for it.
+constexpr std::size_t kHeaderLineOverhead = 200;
 // Connections that are kept for later calls. libcurl's default follows the number of concurrent calls, which closes a
 // range leader's connections between two renewals.
 constexpr long kMaxIdleConnections = 1000;
@@ -29,6 +32,8 @@
     Callback callback;
     HttpAnswer answer;
     std::size_t headBytes = 0; // received
+    unsigned headLines = 0; // received
+    std::size_t heldBytes = 0; // counted in the client's total
     std::uint64_t bodyBytes = 0; // of the request's body; UINT64_MAX if it is not known
     std::size_t bodySent = 0; // bytes of call.body that libcurl has taken
     bool tooLarge = false;
@@ -46,7 +51,7 @@
 
     ~Transfer()
     {
-        client->m_totalBytes -= answer.body.size();
+        client->m_totalBytes -= heldBytes;
         if (call.rest)
             call.rest->onData(nullptr);
         curl_easy_cleanup(easy);
@@ -68,8 +73,7 @@
         if (transfer.tooLarge)
             return 0;
         transfer.answer.body.append(data, n);
-        transfer.client->m_totalBytes += n;
-        transfer.client->limitTotal();
+        transfer.client->hold(transfer, n);
         noteEarlyAnswer(transfer);
         return n;
     }
@@ -124,10 +128,10 @@
         const std::string line(data, size * count);
         transfer.headBytes += line.size();
         transfer.noteReceived();
-        if (transfer.headBytes > kMaxAnswerHeadBytes) {
-            transfer.tooLarge = true;
+        transfer.tooLarge |= transfer.headBytes > kMaxAnswerHeadBytes || ++transfer.headLines > kMaxAnswerHeadLines;
+        if (transfer.tooLarge)
             return 0;
-        }
+        transfer.client->hold(transfer, 2 * line.size() + kHeaderLineOverhead);
         if (line.compare(0, 5, "HTTP/") == 0) {
             transfer.headComplete = false; // interim responses have heads of their own
             transfer.answer.headers.clear();
@@ -314,15 +318,26 @@
     m_timer.once(Millis(0));
 }
 
-// Ends the call with the largest body when all together are too large: one upstream that sends without end must not
-// cost the answers of the others.
+void HttpClient::hold(Transfer& transfer, std::size_t bytes)
+{
+    transfer.heldBytes += bytes;
+    m_totalBytes += bytes;
+    limitTotal();
+}
+
+// Ends the calls that hold the most while all together hold too much: one upstream that sends without end must not cost
+// the answers of the others. They end when libcurl has returned, also if nothing more arrives for them.
 void HttpClient::limitTotal()
 {
-    if (m_totalBytes <= m_maxTotalBytes)
-        return;
-    const auto largest = std::max_element(m_transfers.begin(), m_transfers.end(),
-        [](const auto& a, const auto& b) { return a.second->answer.body.size() < b.second->answer.body.size(); });
-    largest->second->tooLarge = true; // ends with its next bytes
+    while (m_totalBytes > m_maxTotalBytes) {
+        const auto largest = std::max_element(m_transfers.begin(), m_transfers.end(),
+            [](const auto& a, const auto& b) { return a.second->heldBytes < b.second->heldBytes; });
+        Transfer& transfer = *largest->second;
+        transfer.tooLarge = true;
+        transfer.answer = {}; // libcurl may go through many calls before it returns
+        m_totalBytes -= std::exchange(transfer.heldBytes, 0);
+        m_tooLarge.push_back(transfer.id);
+    }
 }
 
 void HttpClient::cancel(CallId id)
@@ -360,6 +375,11 @@
         if (message->msg == CURLMSG_DONE)
             finish(message->easy_handle, message->data.result);
     }
+    for (const CallId id : std::exchange(m_tooLarge, {})) {
+        const auto it = m_transfers.find(id);
+        if (it != m_transfers.end())
+            finish(it->second->easy, CURLE_WRITE_ERROR);
+    }
     for (const CallId id : std::exchange(m_earlyAnswers, {})) {
         const auto it = m_transfers.find(id);
         if (it != m_transfers.end())
@@ -425,7 +445,6 @@
     curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &newConnections);
     transfer->answer.status = static_cast<int>(status);
     transfer->answer.onReusedConnection = newConnections == 0;
-    m_totalBytes -= transfer->answer.body.size();
     transfer->callback(std::move(transfer->answer));
 }
 
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -76,7 +76,7 @@
     using Callback = std::function<void(HttpOutcome)>;
     using CallId = std::uint64_t;
 
-    // `maxBodyBytes` bounds the body of one answer, `maxTotalBytes` those of all calls together.
+    // `maxBodyBytes` bounds the body of one answer, `maxTotalBytes` the heads and bodies of all calls together.
     explicit HttpClient(std::size_t maxBodyBytes, std::size_t maxTotalBytes = SIZE_MAX);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
@@ -95,6 +95,7 @@
     void deliverChunks();
     void limitSilence(Transfer&);
     void continueBody(CallId);
+    void hold(Transfer&, std::size_t bytes);
     void limitTotal();
     void finishCompleted();
     void finishSilent();
@@ -103,11 +104,12 @@
     CURLM* m_multi;
     std::size_t m_maxBodyBytes;
     std::size_t m_maxTotalBytes;
-    std::size_t m_totalBytes = 0; // of the bodies of all answers that are arriving
+    std::size_t m_totalBytes = 0; // that the answers hold that are arriving
     CallId m_nextId = 1;
     Timer m_timer;
     Timer m_silenceTimer;
     std::vector<CallId> m_silent; // calls whose silence time-out has passed
+    std::vector<CallId> m_tooLarge; // calls that hold the most while all together hold too much
     std::vector<CallId> m_earlyAnswers; // complete, although the request's body is not sent completely
     std::vector<std::pair<CallId, std::string>> m_chunks; // of streamed bodies, not yet passed to onBodyChunk
     std::unordered_map<CallId, std::unique_ptr<Transfer>> m_transfers;
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -56,6 +56,7 @@
 
     Endpoint endpoint() const { return { "127.0.0.1", boundPort(m_listenFd) }; }
     bool isCallerGone() const { return m_callerGone; }
+    std::size_t repeatedBytes() const { return m_repeatedBytes; }
 
 private:
     void accept()
@@ -77,6 +78,8 @@
         }
         const ssize_t n = m_ending == Ending::endless ? ::send(m_fd, m_repeated.data(), m_repeated.size(), MSG_NOSIGNAL)
                                                       : ::recv(m_fd, buf, sizeof buf, 0);
+        if (m_ending == Ending::endless && n > 0)
+            m_repeatedBytes += static_cast<std::size_t>(n);
         if (n == 0 || (n < 0 && errno != EAGAIN)) {
             m_callerGone = true;
             m_watcher.stop();
@@ -99,6 +102,7 @@
     int m_fd = -1;
     bool m_answered = false;
     bool m_callerGone = false;
+    std::size_t m_repeatedBytes = 0; // sent
     SocketWatcher m_accept;
     SocketWatcher m_watcher;
 };
@@ -197,6 +201,38 @@
     BOOST_TEST(isFault(first, HttpFault::tooLarge));
 }
 
+// Guards against a host that runs out of memory by the heads of many calls, each within the bound of one.
+BOOST_AUTO_TEST_CASE(headsOfManyCallsTakeNoMoreThanTheShareOfAll)
+{
+    constexpr std::size_t kTotal = 1u << 20;
+    constexpr std::size_t kHeadBytes = 100u << 10;
+    constexpr std::size_t kCalls = 40;
+    std::string head = kHead;
+    for (int n = 0; head.size() < kHeadBytes; ++n)
+        head += "H" + std::to_string(n) + ": " + std::string(1000, 'x') + "\r\n";
+    std::vector<std::unique_ptr<RawServer>> servers;
+    HttpClient client(kMaxBody, kTotal);
+    std::vector<HttpOutcome> ended;
+    for (std::size_t n = 0; n < kCalls; ++n) {
+        servers.push_back(std::make_unique<RawServer>(head, Ending::open));
+        HttpCall request;
+        request.method = "GET";
+        request.endpoint = servers.back()->endpoint();
+        request.target = "/";
+        request.timeout = Millis(15000);
+        client.start(request, [&](HttpOutcome it) { ended.push_back(std::move(it)); });
+    }
+    BOOST_TEST(runLoopUntil([&] { return client.inFlight() <= kTotal / kHeadBytes; }));
+    for (const HttpOutcome& it : ended)
+        BOOST_TEST(isFault(it, HttpFault::tooLarge));
+    HttpServer sound({ "127.0.0.1", 0 }, 1000, [](const HttpRequest&, const Responder& responder) {
+        responder.respond({ 200, {}, "sound" });
+    });
+    const auto outcome = call(client, { "127.0.0.1", sound.port() });
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(std::holds_alternative<HttpAnswer>(*outcome));
+}
+
 BOOST_AUTO_TEST_CASE(answerBeforeTheWholeBodyIsReadCountsAtOnce)
 {
     // The server answers the first bytes and reads no more of the body.
