--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -81,6 +81,7 @@
     m_callerServer.setHeadCheck([this](const HttpRequest& request, std::optional<std::uint64_t> bodyBytes) {
         return m_frontend.checkHead(request, bodyBytes);
     });
+    m_callerServer.setMaxUnsentBytes(m_context.bodyBudget->maxBytes());
     m_callerServer.setBodyBudget(m_context.bodyBudget,
         [this] { return m_context.adapter.refusalResponse(notRun(RefusalReason::memoryFull, kMemoryRetryAfter)); });
 }
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.h"
 
+#include "observe/events.h"
 #include "socket.h"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
 constexpr std::size_t kMaxLingerBytes = 4u << 20;
 // A connection whose input is held back is checked for the caller's close at this interval.
 constexpr Millis kHeldBackCheckInterval { 200 };
+// No more requests of a caller are read while it has not taken this much of the responses.
+constexpr std::size_t kMaxUnsentBytes = 256u << 10;
 // A caller that takes nothing of a response for this long has gone.
 constexpr Millis kWriteStallLimit { 15000 };
 
@@ -54,6 +57,8 @@
     void close();
     void updateTimer();
     bool isResponding() { return m_pipeline.openRequests() > 0 || !m_pipeline.output().empty(); }
+    // Bytes of responses that the caller has not taken, as last counted.
+    std::size_t unsentBytes() const { return m_unsentBytes; }
 
 private:
     HttpPipeline::Handlers pipelineHandlers();
@@ -62,6 +67,7 @@
     void discardInput();
     void flush();
     void updateWatcher();
+    void countUnsent();
     void onTimer();
     std::optional<Millis> expiry() const;
     void onExpiry();
@@ -78,6 +84,7 @@
     Millis m_timerAt {}; // when m_timer fires; zero: not running
     Millis m_activeAt; // last byte received or sent
     std::size_t m_sent = 0; // bytes of the pipeline's output that are sent
+    std::size_t m_unsentBytes = 0;
     std::size_t m_lingerBytes = 0;
     bool m_handlingInput = false;
     bool m_lingering = false;
@@ -137,6 +144,8 @@
     m_timer.stop();
     ::close(std::exchange(m_fd, -1));
     m_pipeline.end();
+    m_pipeline.output() = {};
+    m_server.m_unsentBytes -= std::exchange(m_unsentBytes, 0);
     for (auto& [sequence, exchange] : std::exchange(m_exchanges, {})) {
         exchange->connection = nullptr;
         if (auto callback = std::exchange(exchange->onDisconnect, nullptr))
@@ -246,11 +255,23 @@
     }
     updateWatcher();
     updateTimer();
+    countUnsent();
+}
+
+void HttpConnection::countUnsent()
+{
+    const std::size_t unsent = m_pipeline.output().size() - m_sent + m_pipeline.waitingBytes();
+    const bool grew = unsent > m_unsentBytes;
+    m_server.m_unsentBytes += unsent - m_unsentBytes;
+    m_unsentBytes = unsent;
+    if (grew)
+        m_server.limitUnsent();
 }
 
 void HttpConnection::updateWatcher()
 {
-    const bool reads = m_lingering || m_pipeline.wantsInput();
+    const bool mayRead = m_pipeline.wantsInput() && m_pipeline.output().size() - m_sent < kMaxUnsentBytes;
+    const bool reads = m_lingering || mayRead;
     const int events = (reads ? EV_READ : 0) | (m_pipeline.output().empty() ? 0 : EV_WRITE);
     if (events == m_events)
         return;
@@ -431,6 +452,16 @@
         m_acceptWatcher.watch(m_listenFd, EV_READ);
 }
 
+void HttpServer::limitUnsent()
+{
+    while (m_unsentBytes > m_maxUnsentBytes) {
+        const auto largest = std::max_element(m_connections.begin(), m_connections.end(),
+            [](const auto& a, const auto& b) { return a->unsentBytes() < b->unsentBytes(); });
+        logEvent(EventKind::request, "caller_too_slow", { { "unsent_bytes", (*largest)->unsentBytes() } });
+        (*largest)->close();
+    }
+}
+
 bool HttpServer::isResponding() const
 {
     return std::any_of(m_connections.begin(), m_connections.end(), [](const auto& it) { return it->isResponding(); });
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -58,6 +58,10 @@
     void setHeadCheck(HeadCheck check) { m_headCheck = std::move(check); }
     // Bounds the memory for bodies of new connections; `overload` answers the requests that do not fit.
     void setBodyBudget(std::shared_ptr<MemoryBudget> budget, std::function<HttpResponse()> overload);
+    // Bounds the bytes of responses that callers have not taken, of all connections together. Beyond it the connection
+    // that has the most of them is closed.
+    void setMaxUnsentBytes(std::size_t bytes) { m_maxUnsentBytes = bytes; }
+    std::size_t unsentBytes() const { return m_unsentBytes; }
     std::size_t connectionCount() const { return m_connections.size(); }
     // Whether a request is not answered yet, or an answer not sent completely.
     bool isResponding() const;
@@ -65,6 +69,7 @@
 private:
     void acceptAll();
     void remove(HttpConnection&);
+    void limitUnsent();
 
     int m_listenFd;
     std::uint16_t m_port = 0;
@@ -74,6 +79,8 @@
     HeadCheck m_headCheck;
     std::shared_ptr<MemoryBudget> m_bodyBudget;
     std::function<HttpResponse()> m_overloadResponse;
+    std::size_t m_maxUnsentBytes = SIZE_MAX;
+    std::size_t m_unsentBytes = 0; // of all connections
     bool m_stopping = false;
     bool m_acceptPaused = false; // there are too many connections
     std::list<std::unique_ptr<HttpConnection>> m_connections;
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -233,6 +233,62 @@
     BOOST_TEST(std::holds_alternative<HttpAnswer>(*outcome));
 }
 
+// Guards against a host that runs out of memory by answers whose callers do not read them.
+BOOST_AUTO_TEST_CASE(callersThatTakeNothingCostThemselvesAndNotTheOthers)
+{
+    constexpr std::size_t kAnswerBytes = 8u << 20; // more than the sockets' buffers take
+    constexpr std::size_t kMaxUnsent = 3 * kAnswerBytes;
+    std::size_t answered = 0;
+    HttpServer server({ "127.0.0.1", 0 }, 1000, [&](const HttpRequest&, const Responder& responder) {
+        ++answered;
+        responder.respond({ 200, {}, std::string(kAnswerBytes, 'y') });
+    });
+    server.setMaxUnsentBytes(kMaxUnsent);
+    const Endpoint endpoint { "127.0.0.1", server.port() };
+    std::vector<int> callers;
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (std::size_t n = 0; n < 8; ++n) {
+        callers.push_back(connectTo(endpoint));
+        bool sent = false;
+        runLoopUntil([&] {
+            sent = sent || ::send(callers.back(), request.data(), request.size(), MSG_NOSIGNAL) > 0;
+            return sent;
+        });
+        BOOST_REQUIRE(runLoopUntil([&] { return answered == n + 1; }));
+        BOOST_TEST(server.unsentBytes() <= kMaxUnsent);
+    }
+    BOOST_TEST(server.connectionCount() < callers.size());
+    HttpClient client(2 * kAnswerBytes);
+    const auto outcome = call(client, endpoint);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_REQUIRE(std::holds_alternative<HttpAnswer>(*outcome));
+    BOOST_TEST(std::get<HttpAnswer>(*outcome).body.size() == kAnswerBytes);
+    std::for_each(callers.begin(), callers.end(), ::close);
+}
+
+// Guards against a caller that sends requests without end and reads no answer.
+BOOST_AUTO_TEST_CASE(requestsAreReadNoFasterThanTheirAnswersAreTaken)
+{
+    std::size_t answered = 0;
+    HttpServer server({ "127.0.0.1", 0 }, 1000, [&](const HttpRequest&, const Responder& responder) {
+        ++answered;
+        responder.respond({ 200, {}, std::string(100000, 'y') });
+    });
+    const int caller = connectTo({ "127.0.0.1", server.port() });
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::size_t before = 0;
+    const auto sendsNoMore = [&] {
+        for (int n = 0; n < 50; ++n)
+            (void)!::send(caller, request.data(), request.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        const Millis until = monotonicNow() + Millis(100);
+        runLoopUntil([&] { return monotonicNow() >= until; });
+        return answered > 0 && std::exchange(before, answered) == answered;
+    };
+    BOOST_TEST(runLoopUntil(sendsNoMore));
+    BOOST_TEST(server.unsentBytes() < 64u << 20);
+    ::close(caller);
+}
+
 BOOST_AUTO_TEST_CASE(answerBeforeTheWholeBodyIsReadCountsAtOnce)
 {
     // The server answers the first bytes and reads no more of the body.
