etcd store: a line of the watch without an end ends the watch

What operators would see: a host of the form with challenges that runs out of memory when its store sends a line without an end.

Cause: the watch kept what it received until the end of a line, and searched all of it with each piece; the answers of all calls together had no bound.

Why it works: a longer line than the largest answer (64 MiB) ends the watch, and the next endpoint is tried. Answers together are bounded by 128 MiB.

--- a/src/daemon/context.cpp
+++ b/src/daemon/context.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 constexpr std::size_t kMaxAnswerBytes = 64u << 20;
+constexpr std::size_t kMaxAllAnswersBytes = 2 * kMaxAnswerBytes;
 
 } // namespace
 
 HostContext::HostContext(Settings from, const PeerHub::Handlers& handlers)
     : settings(std::move(from))
     , self { settings.host, Incarnation { static_cast<std::uint64_t>(wallNow().count()) } }
-    , http(kMaxAnswerBytes)
+    , http(kMaxAnswerBytes, kMaxAllAnswersBytes)
     , store(http, settings.store, settings.storePrefix + kLivePrefix, Millis(settings.limits.storeTimeoutMs))
     , hub(settings.peers, self, handlers)
     , m_onMessage(handlers.onMessage)
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -111,11 +111,13 @@
 
 } // namespace
 
-EtcdStore::EtcdStore(HttpClient& http, std::vector<Endpoint> endpoints, std::string prefix, Millis timeout)
+EtcdStore::EtcdStore(
+    HttpClient& http, std::vector<Endpoint> endpoints, std::string prefix, Millis timeout, std::size_t maxLineBytes)
     : m_http(http)
     , m_endpoints(std::move(endpoints))
     , m_prefix(std::move(prefix))
     , m_timeout(timeout)
+    , m_maxLineBytes(maxLineBytes)
 {
 }
 
@@ -169,17 +171,18 @@
     m_watchRevision = after;
     m_watchBuffer.clear();
     m_onBatch = std::move(onBatch);
+    m_onWatchEnd = std::move(onEnd);
     Json create = rangeOf(m_prefix);
     create["start_revision"] = std::to_string(after.next().value);
     auto call = callTo("/v3/watch", Json { { "create_request", create } }.dump());
     call.timeout = kWatchTimeout;
     call.onBodyChunk = [this](const char* data, std::size_t n) { onWatchChunk(data, n); };
-    m_watchCall = m_http.start(call, [this, url = call.url, onEnd = std::move(onEnd)](const HttpOutcome& outcome) {
+    m_watchCall = m_http.start(call, [this, url = call.url](const HttpOutcome& outcome) {
         m_watchCall = 0;
         const auto* failure = std::get_if<HttpFailure>(&outcome);
         if (!failure || failure->fault != HttpFault::timeout)
             tryNextEndpoint();
-        onEnd(errorOf(outcome, url, kWatchTimeout));
+        std::exchange(m_onWatchEnd, nullptr)(errorOf(outcome, url, kWatchTimeout));
     });
 }
 
@@ -193,8 +196,9 @@
 // Each line of the stream is one JSON message. Its changes follow those of the previous message without a gap.
 void EtcdStore::onWatchChunk(const char* data, std::size_t n)
 {
+    const std::size_t known = m_watchBuffer.size(); // has no end of a line
     m_watchBuffer.append(data, n);
-    for (auto end = m_watchBuffer.find('\n'); end != std::string::npos; end = m_watchBuffer.find('\n')) {
+    for (auto end = m_watchBuffer.find('\n', known); end != std::string::npos; end = m_watchBuffer.find('\n')) {
         const Json line = parseJson(m_watchBuffer.substr(0, end));
         m_watchBuffer.erase(0, end + 1);
         if (!line.is_object() || !line.contains("result") || !line["result"].contains("events"))
@@ -205,6 +209,14 @@
         m_watchRevision = std::max(m_watchRevision, batch.to);
         m_onBatch(std::move(batch));
     }
+    if (m_watchBuffer.size() <= m_maxLineBytes)
+        return;
+    stopWatch();
+    m_watchBuffer = {};
+    const StoreError error { m_endpoints[m_endpointIndex % m_endpoints.size()].text(), {}, WriteOutcome::notApplied,
+        0 };
+    tryNextEndpoint();
+    std::exchange(m_onWatchEnd, nullptr)(error);
 }
 
 } // namespace pistachiospur
--- a/src/store/etcd_store.h
+++ b/src/store/etcd_store.h
@@ -16,9 +16,13 @@
 // Max operations in one write: etcd's default limit (--max-txn-ops).
 constexpr std::size_t kMaxWriteOperations = 128;
 
+constexpr std::size_t kMaxWatchLineBytes = 64u << 20;
+
 class EtcdStore : public Store {
 public:
-    EtcdStore(HttpClient&, std::vector<Endpoint>, std::string prefix, Millis timeout);
+    // A watch ends when one line of its stream, a message, is longer than `maxLineBytes`.
+    EtcdStore(HttpClient&, std::vector<Endpoint>, std::string prefix, Millis timeout,
+        std::size_t maxLineBytes = kMaxWatchLineBytes);
 
     void read(const std::string& keyPrefix, std::function<void(ReadResult)>) override;
     void write(const ConditionalWrite&, std::function<void(WriteResult)>) override;
@@ -36,12 +40,14 @@
     std::vector<Endpoint> m_endpoints;
     std::string m_prefix;
     Millis m_timeout;
+    std::size_t m_maxLineBytes;
     std::size_t m_endpointIndex = 0; // modulo the number of endpoints
     std::uint64_t m_calls = 0;
     HttpClient::CallId m_watchCall = 0;
     std::string m_watchBuffer; // received bytes after the last complete line
     StoreRevision m_watchRevision; // of the last change that was reported
     OnBatch m_onBatch;
+    OnWatchEnd m_onWatchEnd;
 };
 
 } // namespace pistachiospur
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -1,6 +1,7 @@
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "io/socket.h"
+#include "store/etcd_store.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -289,6 +290,20 @@
     ::close(caller);
 }
 
+// Guards against a store that sends a line of a watch without an end.
+BOOST_AUTO_TEST_CASE(lineOfAWatchWithoutEndEndsTheWatch)
+{
+    RawServer server(kHead + "\r\n{", Ending::endless, std::string(60000, ' '));
+    HttpClient client(64u << 20);
+    EtcdStore store(client, { server.endpoint() }, "p/", Millis(2000), 1u << 20);
+    bool ended = false;
+    store.watch(
+        {}, [](const ChangeBatch&) {}, [&](const StoreError&) { ended = true; });
+    BOOST_TEST(runLoopUntil([&] { return ended; }));
+    BOOST_TEST(runLoopUntil([&] { return server.isCallerGone(); }));
+    BOOST_TEST(server.repeatedBytes() < 16u << 20); // the sockets' buffers included
+}
+
 BOOST_AUTO_TEST_CASE(answerBeforeTheWholeBodyIsReadCountsAtOnce)
 {
     // The server answers the first bytes and reads no more of the body.
