HTTP server: a request whose length is not known is refused (UNASKED)

Cause: Boost.Beast takes a request whose last coding is not "chunked" for one without a body, and does not report it.

Why it works: the codings are checked when the head is complete, as RFC 9112, 6.1 and 6.3, ask: 400, or 501 for an unknown coding before "chunked", and the connection closes after the answer.

--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -19,6 +19,7 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kHeaderTooLarge = 431;
+constexpr int kNotImplemented = 501;
 constexpr int kVersionNotSupported = 505;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -76,6 +77,21 @@
     }
 }
 
+// The status that refuses a request because its body's length cannot be known (RFC 9112, 6.1 and 6.3); nothing if it
+// can. Boost.Beast takes a request whose last coding is not "chunked" for one without a body.
+std::optional<int> refusalOfCodings(const HeaderMap& headers, unsigned version)
+{
+    const auto found = headers.find("transfer-encoding");
+    if (found == headers.end())
+        return std::nullopt;
+    const std::vector<std::string> codings = absl::StrSplit(absl::AsciiStrToLower(found->second), ',');
+    const auto isChunked = [](const std::string& it) { return absl::StripAsciiWhitespace(it) == "chunked"; };
+    const auto chunked = std::count_if(codings.begin(), codings.end(), isChunked);
+    if (version < 11 || chunked != 1 || !isChunked(codings.back()) || headers.count("content-length") > 0)
+        return kBadRequest;
+    return codings.size() > 1 ? std::optional(kNotImplemented) : std::nullopt;
+}
+
 } // namespace
 
 struct RequestParser::Impl : http::basic_parser<true> {
@@ -86,9 +102,10 @@
     }
 
     void on_request_impl(
-        http::verb, beast::string_view method, beast::string_view target, int, beast::error_code& ec) override
+        http::verb, beast::string_view method, beast::string_view target, int number, beast::error_code& ec) override
     {
         ec = {};
+        version = static_cast<unsigned>(number);
         request.method = std::string(view(method));
         readTarget(request, view(target));
     }
@@ -111,6 +128,11 @@
     void on_header_impl(beast::error_code& ec) override
     {
         ec = {};
+        error = refusalOfCodings(request.headers, version);
+        if (error) {
+            ec = http::error::bad_transfer_encoding;
+            return;
+        }
         headDone = true;
         removeConnectionHeaders(request.headers);
     }
@@ -140,6 +162,7 @@
     HttpRequest& request;
     OnBody onBody;
     bool headDone = false;
+    unsigned version = 0; // 11 for HTTP/1.1
     std::optional<int> error;
 };
 
@@ -163,6 +186,8 @@
         consumed += m_impl->put(boost::asio::const_buffer(bytes.data() + consumed, bytes.size() - consumed), ec);
         if (ec == http::error::need_more)
             break;
+        if (m_impl->error)
+            break;
         if (ec == http::error::header_limit)
             m_impl->error = kHeaderTooLarge;
         else if (ec == http::error::bad_version)
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -198,6 +198,10 @@
         { "GET / HTTP/7.1\r\n\r\n", 505 },
         { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", 400 },
         { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400 },
+        { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", 400 },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\n", 400 },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5 5\r\n\r\n", 400 },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 18446744073709551616\r\n\r\n", 400 },
         { "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(70000, 'x') + "\r\n\r\n", 431 },
     };
     for (const auto& [text, status] : cases) {
@@ -215,6 +219,52 @@
     }
 }
 
+// Guards against a body that runs as a request of its own (UNASKED): its length is not known by the coding that the
+// request names, and it is taken for what follows the request.
+BOOST_AUTO_TEST_CASE(requestWhoseLengthIsNotKnownIsRefusedAndNothingAfterItIsParsed)
+{
+    const std::vector<std::pair<std::string, int>> cases = {
+        { "Transfer-Encoding: gzip", 400 },
+        { "Transfer-Encoding: identity", 400 },
+        { "Transfer-Encoding: \"chunked\"", 400 },
+        { "Transfer-Encoding: chunked, identity", 400 },
+        { "Transfer-Encoding: chunked, chunked", 400 },
+        { "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", 400 },
+        { "Transfer-Encoding: xchunked", 400 },
+        { "Transfer-Encoding: chunked;q=1", 400 },
+        { "Transfer-Encoding:", 400 },
+        { "Transfer-Encoding: gzip, chunked", 501 },
+        { "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", 501 },
+    };
+    for (const auto& [header, status] : cases) {
+        for (const char* version : { "1.1", "1.0" }) {
+            const std::string bytes = get("/before") + "POST /outer HTTP/" + version + "\r\nHost: a\r\n" + header
+                + "\r\n\r\n" + get("/inner") + get("/after");
+            for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+                Connection caller;
+                caller.receive(std::string_view(bytes).substr(0, cut));
+                caller.receive(std::string_view(bytes).substr(cut));
+                BOOST_REQUIRE(caller.passedOn.size() == 1u);
+                BOOST_TEST(caller.passedOn[0].second.path == "/before");
+                caller.answer(0, "");
+                const std::string& text = caller.output();
+                BOOST_TEST(
+                    statusOf(text.substr(text.find("\r\n\r\n") + 4)) == (version[2] == '0' ? 400 : status), header);
+                BOOST_TEST(text.find("Connection: close") != std::string::npos);
+                BOOST_TEST(caller.pipeline->isClosing());
+            }
+        }
+    }
+    Connection caller;
+    caller.receive("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    BOOST_TEST(caller.passedOn.empty());
+    BOOST_TEST(statusOf(caller.output()) == 400);
+    Connection sound;
+    sound.receive("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked \r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    BOOST_REQUIRE(sound.passedOn.size() == 1u);
+    BOOST_TEST(sound.passedOn[0].second.body == "hi");
+}
+
 BOOST_AUTO_TEST_CASE(bytesOfEachKindAndLengthNeverThrow)
 {
     std::mt19937_64 random(20261204);
