--- a/tests/lives_test.cpp
+++ b/tests/lives_test.cpp
@@ -176,8 +176,8 @@
     RawSite site(1, answerSlowly);
     std::size_t relayed = 0;
     PeerHub coordinator({ "127.0.0.1", 0 }, Hello { kPeer, { 2 }, false },
-        { [&](const auto&, LinkId, Message message) { relayed += std::holds_alternative<Relay>(message); }, nullptr,
-            [&](const HostName&) { return std::optional(site.peerEndpoints[0]); } });
+        { [&](const auto&, LinkId, const Message& message) { relayed += std::holds_alternative<Relay>(message); },
+            nullptr, [&](const HostName&) { return std::optional(site.peerEndpoints[0]); } });
     PeerLife before(site.peerEndpoints[0], kPeer, Incarnation { 1 });
     BOOST_REQUIRE(RawSite::runLoopUntil([&] { return !before.all<Hello>().empty(); }));
     coordinator.send("h0", ReachReport {});
