HTTP server: a connection over the bound is closed outside of its own input

Cause, by reading the change as another's: the bound on unsent bytes closed the connection at once, also while that connection's own input was parsed further up the stack, which then reads bytes that are gone.

Why it works: the connections are closed by a timer, as closed ones are deleted.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -261,11 +261,10 @@
 void HttpConnection::countUnsent()
 {
     const std::size_t unsent = m_pipeline.output().size() - m_sent + m_pipeline.waitingBytes();
-    const bool grew = unsent > m_unsentBytes;
     m_server.m_unsentBytes += unsent - m_unsentBytes;
     m_unsentBytes = unsent;
-    if (grew)
-        m_server.limitUnsent();
+    if (m_server.m_unsentBytes > m_server.m_maxUnsentBytes)
+        m_server.m_limitTimer.once(Millis(0));
 }
 
 void HttpConnection::updateWatcher()
@@ -412,6 +411,7 @@
     , m_maxConnections(maxConnections)
     , m_acceptWatcher([this](int) { acceptAll(); })
     , m_deleteTimer([this] { m_closed.clear(); })
+    , m_limitTimer([this] { limitUnsent(); })
 {
     m_limits.bodyBytes = maxBodyBytes;
     m_acceptWatcher.watch(m_listenFd, EV_READ);
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -88,6 +88,7 @@
     std::list<std::unique_ptr<HttpConnection>> m_closed;
     SocketWatcher m_acceptWatcher;
     Timer m_deleteTimer;
+    Timer m_limitTimer; // calls limitUnsent(), because a connection must not be closed while it handles its input
 
     friend class HttpConnection;
 };
