--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -4,6 +4,7 @@
 #include "io/http_server.h"
 #include "pistachiospur/request.h"
 #include "ranges/table.h"
+#include "requests/load.h"
 #include "requests/pace.h"
 #include "routes/routes.h"
 #include "store/store.h"
@@ -63,18 +64,20 @@
 // What an answer says of its upstream, besides answering.
 struct UpstreamNotice {
     bool isLeaving = false; // the upstream ends soon and must not get new requests
-
     Millis pause {}; // the upstream wants nothing from this host for so long
+    std::optional<UpstreamLoad> load {};
+    std::optional<Millis> coldLeft {}; // how much longer the upstream is cold; zero: it says that it is warm
 
     friend bool operator==(const UpstreamNotice& a, const UpstreamNotice& b)
     {
-        return a.isLeaving == b.isLeaving && a.pause == b.pause;
+        return std::tie(a.isLeaving, a.pause, a.load, a.coldLeft) == std::tie(b.isLeaving, b.pause, b.load, b.coldLeft);
     }
 };
 
 struct PlatformAdapter {
     std::string configurationKey; // store key of the operator's configuration
     std::string upstreamPrefix; // prefix of the store keys of upstreams' entries
+    std::string evacuationPrefix; // prefix of the store keys that name the data centres to be emptied
     // Parts that cannot be read are listed in the table's `faults`; the others are in force.
     boost::leaf::result<RoutingTable> (*decodeConfiguration)(const std::string& text);
     boost::leaf::result<UpstreamInstance> (*decodeUpstream)(const UpstreamName&, const std::string& text);
@@ -97,6 +100,8 @@
     RateNotice (*readRate)(const HttpAnswer&);
     // Nothing if the answer is another upstream's or belongs to another request than the one with this id.
     UpstreamNotice (*readNotice)(const HttpAnswer&, const std::string& sentId, const UpstreamName& sentTo);
+    // Asks an upstream for its health. The answer is read by readNotice().
+    HttpCall (*healthCall)(const UpstreamInstance&, const std::string& healthPath, const std::string& id);
 };
 
 } // namespace pistachiospur
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -46,6 +46,13 @@
             "retries per window allowed for a service beyond retry_ratio, over all hosts, as set by the platform" },
         { "retry_window_ms", &GatewayLimits::retryWindowMs, 10000, 100, 600000, "ms",
             "window over which requests and retries are counted, as set by the platform" },
+        { "cold_slack", &GatewayLimits::coldSlack, 0, 0, 100000, "requests",
+            "requests beyond cold_over times its service's rate that a cold upstream may get in any second from all "
+            "hosts "
+            "together, as set by the platform" },
+        { "evacuate_ms", &GatewayLimits::evacuateMs, 5000, 100, 600000, "ms",
+            "the upstreams of a data centre that is to be emptied get nothing after this time, as set by the "
+            "platform" },
         { "memory_mb", &GatewayLimits::memoryMb, 512, 16, 1 << 20, "MB",
             "memory that the process may use; bodies of requests and answers in transit get a part of it" },
         { "descriptors", &GatewayLimits::descriptors, 4096, 64, 1 << 20, "descriptors",
@@ -63,6 +70,7 @@
 namespace {
 
 constexpr double kMaxRetryRatio = 10;
+constexpr double kMaxColdOver = 100;
 
 // A value of an option, in its unit. Times may be given in seconds.
 std::int64_t readOption(FieldReader& reader, const GatewayOption& option)
@@ -85,6 +93,7 @@
     for (const auto& option : gatewayOptions())
         limits.*option.field = readOption(reader, option);
     limits.retryRatio = reader.numberOr("retry_ratio", 0, kMaxRetryRatio, limits.retryRatio);
+    limits.coldOver = reader.numberOr("cold_over", 1, kMaxColdOver, limits.coldOver);
     reader.refuseUnknownFields();
     if (limits.renewalIntervalMs * 2 + limits.orderTimeoutMs > limits.grantTtlMs)
         reader.addFault(FieldFault::conflict, "renewal_interval_ms", std::to_string(limits.renewalIntervalMs),
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -30,7 +30,12 @@
     std::int64_t retryWindowMs = 0;
     std::int64_t memoryMb = 0;
     std::int64_t descriptors = 0;
+    std::int64_t coldSlack = 0;
+    std::int64_t evacuateMs = 0;
     double retryRatio = 0.2; // retries allowed for a service as a part of its requests; "retry_ratio" under "limits"
+    // Requests that a cold upstream gets in any second: at most the service's rate times this, plus coldSlack;
+    // "cold_over" under "limits".
+    double coldOver = 1;
 };
 
 // One whole-number setting under "limits" in the settings document. A value with a fraction is rounded down, because
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -5,6 +5,7 @@
 #include "ownership/release.h"
 #include "pistachiospur/request.h"
 #include "ranges/table.h"
+#include "requests/load.h"
 #include "requests/pace.h"
 #include "requests/quarantine.h"
 #include "store/store.h"
@@ -129,6 +130,7 @@
     Reply reply; // an answer without headers and body, or the refusal
     RateNotice rate {}; // what the upstream's answer says of its limit
     Millis pause {}; // how much longer the upstream wants nothing from the sender
+    std::optional<UpstreamLoad> load {}; // that the upstream's answer states
 };
 
 // Cancels a relayed request, because the caller has disconnected or the deadline has passed.
