--- a/tests/decoders_test.cpp
+++ b/tests/decoders_test.cpp
@@ -68,6 +68,7 @@
         RelayReply { 1, Answer { 200, { { "a", "b" } }, "body" }, Millis(3) },
         RelayReply { 1, notRun(RefusalReason::queueFull), Millis(3) }, RelayTurn { 4, { "u", { 1 } }, Millis(1) },
         RelayTurnOver { 4, maybeRun(RefusalReason::upstreamBroken), { RateNotice::Kind::limited, 2.5 }, Millis(1500) },
+        RelayTurnOver { 4, Answer { 200, {}, {} }, {}, {}, UpstreamLoad { 1, 2, 4, 1.6 } },
         UpstreamDeparture { { "u", { 7 } } }, LoadReport { "s", { { 1, 2 } }, { { { "u", { 1 } }, 3.5 } } },
         RangeUpdate { "s", { 4 }, { 3 }, table, { { { 0 }, { 9 }, Millis(5) } } },
         WatchUpdate {
--- a/tests/message_samples.h
+++ b/tests/message_samples.h
@@ -48,8 +48,7 @@
         LeaderAnnouncement { "s", "h", { 3 }, { 5 }, "claim", { 6 } }, LeaderSteppedDown { "s", { 3 }, { 6 } },
         WatchUpdate { batch, { { "s", { 4 } } }, false, Millis(300), Millis(20) },
         RelayTurn { 4, { "u", { 1 } }, Millis(1) },
-        RelayTurnOver { 4, maybeRun(RefusalReason::upstreamBroken), { RateNotice::Kind::limited, 2.5 }, Millis(1500),
-            UpstreamLoad { 1, 2, 4, 1.6 } },
+        RelayTurnOver { 4, maybeRun(RefusalReason::upstreamBroken), { RateNotice::Kind::limited, 2.5 }, Millis(1500) },
         UpstreamDeparture { { "u", { 7 } } } };
 }
 
