Ranges: a judged plan, hot slots are isolated once; a slot's share of waiting requests

Cause: each plan moved the first slots of the busiest upstream to the least utilized one by the counts of the last 1.5 s. While others ask the same upstream, one slot's waiting requests leave them half of the starts within the latency target. How moves are carried out is unchanged.

--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -213,6 +213,11 @@
         added.callback(pausedRefusal(pool, added.request.order, pause));
         return 0;
     }
+    if (!mayWaitForSlot(pool, added.request)) {
+        m_context.metrics.count("pistachiospur_slot_share_refusals_total");
+        added.callback(notRun(RefusalReason::queueFull, retryAfter(pool, added.request.order)));
+        return 0;
+    }
     const JobId id = m_nextJob++;
     const WaitingRequest waiting { id, added.request.order, added.request.deadline };
     m_poolNames[id] = nameOf(pool);
@@ -225,6 +230,25 @@
     return m_poolNames.count(id) ? id : 0;
 }
 
+// Whether a request for a slot of a keyed service may be added to those that wait.
+bool Dispatcher::mayWaitForSlot(Pool& pool, const Request& request)
+{
+    const auto& routes = m_context.directory.routes();
+    const auto service = routes ? routes->services.find(pool.service) : decltype(routes->services.end()) {};
+    if (!routes || service == routes->services.end() || !service->second.keyed)
+        return true;
+    SlotQueue queue;
+    queue.slots = pool.policy.maxConcurrent;
+    queue.runMs = pool.queue.lanes[request.order].meanServiceMs;
+    for (const auto& [id, job] : pool.jobs) {
+        if (!job.running)
+            ++(job.request.slot == request.slot ? queue.ofSlot : queue.ofOthers);
+    }
+    const Millis now = monotonicNow();
+    noteArrival(pool.slotArrivals, request.slot, now);
+    return mayWait(queue, pool.slotArrivals, request.slot, request.targetLatency, now);
+}
+
 // The time until any available instance of a pool takes requests from the host that sends one; zero if one does now.
 Millis Dispatcher::pauseLeftFor(const Pool& pool, const RequestOrigin& origin, Millis now) const
 {
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -3,6 +3,7 @@
 #include "context.h"
 #include "requests/pace.h"
 #include "requests/queue.h"
+#include "requests/slot_share.h"
 #include "requests/spread.h"
 
 #include <functional>
@@ -94,12 +95,14 @@
         QueuePolicy policy;
         std::unordered_map<JobId, Job> jobs;
         std::map<InstanceId, Member> members;
+        SlotArrivals slotArrivals; // of a keyed service
     };
 
     Pool& findOrCreatePool(const ServiceName&, const UpstreamName&);
     void refreshPolicy(Pool&);
     void refreshSlots(Pool&);
     void refuseMoved(Pool&);
+    bool mayWaitForSlot(Pool&, const Request&);
     void refusePaused(Pool&);
     void refuseQuarantined(Pool&);
     Millis pauseLeftFor(const Pool&, const RequestOrigin&, Millis now) const;
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -16,14 +16,6 @@
 // One plan may make one move per this many owners, so that large sites are balanced as fast as small ones.
 constexpr std::size_t kOwnersPerMove = 10;
 constexpr Millis kQueryInterval { 300 };
-// Request counts are multiplied by the factor at each interval, so that loads follow about 1.5 s of traffic: short
-// enough to move a key that becomes hot within that time, long enough to count about 30 requests of a moderately busy
-// upstream.
-constexpr Millis kDecayInterval { 500 };
-constexpr double kDecayFactor = 0.72;
-constexpr double kMinTrackedLoad = 0.01;
-// Assumed mean run time of an upstream's requests until one has been reported.
-constexpr double kDefaultRunMs = 170;
 
 // Time between two grants of a range: renewalIntervalMs, or longer if the grant rate of a host with this processor time
 // does not allow that for all ranges.
@@ -255,13 +247,7 @@
     const Millis now = monotonicNow();
     removeExpired(m_ledger, bootNow());
     checkPreviousLeaders();
-    if (now >= m_nextDecayAt) {
-        m_nextDecayAt = now + kDecayInterval;
-        for (auto it = m_loads.begin(); it != m_loads.end();) {
-            it->second *= kDecayFactor;
-            it = it->second < kMinTrackedLoad ? m_loads.erase(it) : std::next(it);
-        }
-    }
+    decay(m_plans.rates, now);
     probeUnreachable();
     stepDownIfCutOff();
     if (m_tableWritten)
@@ -290,8 +276,7 @@
         if (entry.instance.service != m_service || !mayTakeWork(entry, now) || entry.instance.draining
             || isUnreachable(entry.instance.id))
             continue;
-        const auto it = m_runMs.find(entry.instance.id);
-        const double runMs = it == m_runMs.end() ? kDefaultRunMs : it->second;
+        const double runMs = runMsOf(m_ownerSpeeds, entry.instance.id);
         const bool mayReceive
             = !failing.count(entry.instance.id) && !isFailing(m_context.reach, m_service, entry.instance.id);
         found.push_back({ entry.instance.id, entry.instance.slots * 1000.0 / runMs, mayReceive });
@@ -326,19 +311,18 @@
             || mayHaveEarlierGrants(state))
             fixed.insert(range.first.value);
     }
-    const double ratePerCount = (1 - kDecayFactor) * 1000 / static_cast<double>(kDecayInterval.count());
-    SlotLoads loads = m_loads;
-    for (auto& [slot, load] : loads)
-        load *= ratePerCount;
     const auto eligible = eligibleOwners();
     BalancePolicy policy;
     policy.maxMoves = std::max(policy.maxMoves, static_cast<unsigned>(eligible.size() / kOwnersPerMove));
-    for (const auto& it : planMoves(ranges, eligible, loads, fixed, policy)) {
+    for (const auto& it : planNextMoves(m_plans, ranges, eligible, fixed, policy, {}, monotonicNow())) {
         const Range* current = findRange(m_table, it.first);
         if (current && awaitsProof(*current))
             continue;
         logEvent(EventKind::state, "move",
             { { "service", m_service }, { "first", it.first.value }, { "last", it.last.value }, { "to", it.to.name } });
+        noteMove(m_plans.history, ranges, it.first, it.last, monotonicNow());
+        m_context.metrics.count("pistachiospur_slot_moves_total");
+        m_context.metrics.count("pistachiospur_moved_slots_total", {}, it.last.value - it.first.value + 1);
         assign(ranges, it.first, it.last, it.to);
         changed = true;
     }
@@ -593,15 +577,17 @@
 void RangeLeader::onLoadReport(const LoadReport& report)
 {
     for (const auto& [slot, n] : report.counts)
-        m_loads[slot] += n;
+        countRequests(m_plans.rates, slot, n);
     for (const auto& it : report.runs)
-        m_runMs[it.instance] = it.runMs;
+        noteRunTime(m_ownerSpeeds, it.instance, it.runMs);
 }
 
 void RangeLeader::publishMetrics()
 {
     if (!m_isLeader)
         return;
+    m_context.metrics.set(
+        "pistachiospur_hot_slots", { { "service", m_service } }, static_cast<double>(m_plans.hot.size()));
     std::map<UpstreamName, double> owned;
     for (const auto& it : m_table.ranges)
         owned[it.owner.name] += it.last.value - it.first.value + 1;
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "context.h"
-#include "ranges/balance.h"
 #include "ranges/ledger.h"
+#include "ranges/owner_speeds.h"
+#include "ranges/planner.h"
 
 #include <map>
 
@@ -193,9 +194,8 @@
     StoreRevision m_announcedRevision;
     std::vector<Range> m_announcedRanges; // at that revision
 
-    SlotLoads m_loads; // decayed request counts
-    std::map<InstanceId, double> m_runMs;
-    Millis m_nextDecayAt {};
+    PlanMemory m_plans; // loads, hot slots and past moves
+    OwnerSpeeds m_ownerSpeeds;
 };
 
 } // namespace pistachiospur
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -64,6 +64,11 @@
         { "pistachiospur_copy_requests_total", "counter",
             "requests to other hosts for what this host's copy of the store lacks" },
         { "pistachiospur_owned_slots", "gauge", "slots owned, by upstream" },
+        { "pistachiospur_slot_moves_total", "counter", "runs of slots that a range leader has given a new owner" },
+        { "pistachiospur_moved_slots_total", "counter", "slots in these runs" },
+        { "pistachiospur_hot_slots", "gauge", "slots that get more requests than any upstream runs, by service" },
+        { "pistachiospur_slot_share_refusals_total", "counter",
+            "requests refused because their slot has its share of the waiting ones of its upstream" },
         { "pistachiospur_burn_rate", "gauge", "error budget burn rate by service, rank and window" },
     };
     return table;
--- a/src/ranges/balance.h
+++ b/src/ranges/balance.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "hot_slots.h"
+#include "plan_judge.h"
+#include "slot_rates.h"
 #include "table.h"
 
-#include <map>
 #include <set>
 #include <vector>
 
@@ -10,10 +12,6 @@
 // from the most to the least utilized upstreams, and reduces the number of ranges.
 namespace pistachiospur {
 
-// Requests per second by slot, from recent counts of the hosts that received the requests. Slots without requests are
-// not listed.
-using SlotLoads = std::map<std::uint32_t, double>;
-
 struct OwnerCapacity {
     InstanceId id;
     double capacity = 1; // requests per second that it can run
@@ -41,12 +39,24 @@
     std::size_t maxRangesPerOwner = 2;
 };
 
+// What a plan is judged by, beside the lasting loads.
+struct PlanJudge {
+    JudgePolicy policy;
+    SlotLoads recent;
+    double window = 0; // of the lasting loads, in seconds
+    HotSlots hot;
+    MoveHistory history;
+    Millis now {};
+};
+
 // The first table: one run of slots for each owner, all of about the same length.
 std::vector<Range> evenRanges(const std::vector<OwnerCapacity>& owners);
 
 // Moves for all ranges whose owner is not among `owners`, then for balance, then to reduce the number of ranges.
 // `fixed` holds the first slots of ranges that must not move for the latter two reasons. Empty if there are no owners.
+// With a judge, hot slots are isolated, and moves for balance are made only if they gain by its policy; without one,
+// any difference of utilization beyond the policy's gap moves slots.
 std::vector<Move> planMoves(const std::vector<Range>&, const std::vector<OwnerCapacity>& owners, const SlotLoads&,
-    const std::set<std::uint32_t>& fixed, const BalancePolicy&);
+    const std::set<std::uint32_t>& fixed, const BalancePolicy&, const PlanJudge* = nullptr);
 
 } // namespace pistachiospur
