--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -4,6 +4,7 @@
 #include "requests/pace.h"
 #include "requests/places.h"
 #include "requests/queue.h"
+#include "requests/slot_share.h"
 #include "requests/spread.h"
 
 #include <functional>
@@ -106,12 +107,14 @@
         std::map<RankName, QueueTimes> times;
         std::unordered_map<JobId, Job> jobs;
         std::map<InstanceId, Member> members;
+        SlotArrivals slotArrivals; // of a keyed service
     };
 
     Pool& findOrCreatePool(const ServiceName&, const UpstreamName&);
     void refreshPolicy(Pool&);
     void refreshSlots(Pool&);
     void refuseMoved(Pool&);
+    bool mayWaitForSlot(Pool&, const Request&);
     void refusePaused(Pool&);
     void refuseQuarantined(Pool&);
     Millis pauseLeftFor(const Pool&, const RequestOrigin&, Millis now) const;
