Crowds of misbehaving callers, and status lines that are none: tests that show the faults

24 things that callers sent on other systems, at four doors of a real process (a route, no route, ready, metrics), with memory_mb 40 and 400 descriptors: 300 connections (700 that send nothing, 100 or 50 where each sends much). Checked: the process lives, resident memory stays under 40 MB and descriptors under 300, and beside the crowd an ordinary request, the readiness check and the metrics are answered. `make crowds` runs one at a time.

Connections that send nothing, or stop within a chunk extension or a trailer, take all places of the route and no ordinary request is served; 700 at ready take all 400 descriptors, and then no door answers.

Suite Statuses: 600, 700, 999, "200x", a second blank or a tab, HTTP/2 and http/1.1 are taken for answers, and a 101 reaches the caller. 000, 099, 1000 and the others fail the call already.

--- a/Makefile
+++ b/Makefile
@@ -13,16 +13,17 @@
 CLI_SOURCES := $(wildcard src/cli/*.cpp)
 STANDIN_SOURCES := $(wildcard standins/*.cpp)
 SITE_TEST := tests/site_test.cpp
-TEST_SOURCES := $(filter-out $(SITE_TEST),$(wildcard tests/*.cpp))
+CROWD_TEST := tests/crowd_test.cpp
+TEST_SOURCES := $(filter-out $(SITE_TEST) $(CROWD_TEST),$(wildcard tests/*.cpp))
 BENCH_SOURCES := $(wildcard bench/*.cpp)
-ALL_SOURCES := $(LIB_SOURCES) src/daemon/main.cpp $(CLI_SOURCES) $(STANDIN_SOURCES) $(TEST_SOURCES) $(SITE_TEST) $(BENCH_SOURCES)
+ALL_SOURCES := $(LIB_SOURCES) src/daemon/main.cpp $(CLI_SOURCES) $(STANDIN_SOURCES) $(TEST_SOURCES) $(SITE_TEST) $(CROWD_TEST) $(BENCH_SOURCES)
 ALL_HEADERS := $(wildcard include/*/*.h src/*/*.h platform/*.h standins/*.h tests/*.h bench/*.h)
 object = $(patsubst %.cpp,$(BUILD)/%.o,$(1))
 
 STANDINS := $(BUILD)/standin-store $(BUILD)/standin-hosts $(BUILD)/standin-upstream
 PROGRAMS := $(BUILD)/pistachiospurd $(BUILD)/pistachiospur
 
-.PHONY: help compile build daemon install demo check test models format lint capacity measure site clean
+.PHONY: help compile build daemon install demo check test models format lint capacity measure site crowds clean
 .DEFAULT_GOAL := help
 
 help: ## list the targets
@@ -59,6 +60,9 @@
 $(BUILD)/site-tests: $(call object,$(SITE_TEST) standins/site.cpp) $(BUILD)/libpistachiospur.a
 	$(CXX) $^ $(LIBS) -lboost_unit_test_framework -o $@
 
+$(BUILD)/crowd-tests: $(call object,$(CROWD_TEST) standins/site.cpp standins/kv.cpp standins/raw_upstream.cpp) $(BUILD)/libpistachiospur.a
+	$(CXX) $^ $(LIBS) -lboost_unit_test_framework -o $@
+
 $(BUILD)/capacity: $(call object,bench/capacity.cpp) $(BUILD)/libpistachiospur.a
 	$(CXX) $^ $(LIBS) -o $@
 
@@ -68,7 +72,7 @@
 # Builds all programs and tests with JOBS parallel jobs, even if make was started without -j.
 compile:
 	$(MAKE) --no-print-directory -j$(JOBS) $(PROGRAMS) $(STANDINS) $(BUILD)/demo $(BUILD)/unit-tests \
-		$(BUILD)/site-tests $(BUILD)/capacity $(BUILD)/site-bench
+		$(BUILD)/site-tests $(BUILD)/crowd-tests $(BUILD)/capacity $(BUILD)/site-bench
 
 demo: install compile ## install missing packages, build, and run a demonstration site on loopback
 	timeout 120 $(BUILD)/demo $(BUILD)
@@ -88,13 +92,16 @@
 site: build $(BUILD)/site-tests ## end-to-end tests: sites of real processes with injected failures
 	scripts/site-tests $(BUILD)
 
+crowds: $(BUILD)/pistachiospurd $(BUILD)/crowd-tests ## crowds of misbehaving callers against a real process, one test at a time
+	scripts/crowd-tests $(BUILD)
+
 models: ## check the models, and that variants without a guard fail
 	scripts/check-models $(BUILD)/models
 
 capacity: $(BUILD)/capacity ## measure memory and CPU time per unit for docs/CAPACITY.md
 	$(BUILD)/capacity
 
-check: compile lint test models site ## compile, lint, test, models and site, as CI does
+check: compile lint test models site crowds ## compile, lint, test, models, site and crowds, as CI does
 	@echo "check passed"
 
 $(BUILD)/site-bench: $(call object,bench/site.cpp standins/site.cpp) $(BUILD)/libpistachiospur.a
