Client: a status line that is none is no answer

An upstream's 600, 700, 999, "200x", a second blank or a tab, HTTP/2 and http/1.1 were taken for answers, since only libcurl read status lines; a 101 reached the caller. The status line is now read in one place, parseStatusLine, which every user of HttpClient has: both forms of the daemon, orders and stores. HTTP/1.0 or 1.1, one blank, three digits from 100 to 599, then a blank or the end; 101 and an interim response without a final one are no answer. What fails is a broken answer: 502, no promise.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -14,6 +14,8 @@
 
 // A head that is larger than this, interim responses included, is no answer of an upstream.
 constexpr std::size_t kMaxAnswerHeadBytes = 128u << 10;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200; // lower ones are of interim responses
 constexpr unsigned kMaxAnswerHeadLines = 1000; // interim responses and trailers included
 // What a line of a head takes beside its text: libcurl keeps a copy of each, and the map of headers has a node for it.
 constexpr std::size_t kHeaderLineOverhead = 200;
@@ -135,7 +137,10 @@
         if (line.compare(0, 5, "HTTP/") == 0) {
             transfer.headComplete = false; // interim responses have heads of their own
             transfer.answer.headers.clear();
-            return size * count;
+            transfer.answer.status = parseStatusLine(line).value_or(0);
+            // libcurl also takes other lines for a status line. No call of ours asks for another protocol.
+            const bool isSound = transfer.answer.status != 0 && transfer.answer.status != kSwitchingProtocols;
+            return isSound ? size * count : 0;
         }
         if (transfer.headComplete) // a trailer
             return size * count;
@@ -436,15 +441,14 @@
         transfer->callback(HttpFailure { HttpFault::tooLarge });
         return;
     }
-    // libcurl takes a connection that closes within the head for the end of an answer without a body.
-    if (!transfer->headComplete) {
+    // libcurl takes a connection that closes within the head for the end of an answer without a body, and may do so
+    // for one that closes after an interim response.
+    if (!transfer->headComplete || transfer->answer.status < kFirstFinalStatus) {
         transfer->callback(HttpFailure { HttpFault::broken });
         return;
     }
-    long status = 0, newConnections = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    long newConnections = 0;
     curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &newConnections);
-    transfer->answer.status = static_cast<int>(status);
     transfer->answer.onReusedConnection = newConnections == 0;
     transfer->callback(std::move(transfer->answer));
 }
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -219,6 +219,24 @@
     return m_impl->chunked() ? std::nullopt : std::optional<std::uint64_t>(0);
 }
 
+std::optional<int> parseStatusLine(std::string_view line)
+{
+    constexpr std::size_t kVersionBytes = 9; // with the blank behind it
+    constexpr std::size_t kStatusEnd = kVersionBytes + 3;
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
+        line.remove_suffix(1);
+    const std::string_view version = line.substr(0, kVersionBytes);
+    if ((version != "HTTP/1.1 " && version != "HTTP/1.0 ") || line.size() < kStatusEnd
+        || (line.size() > kStatusEnd && line[kStatusEnd] != ' '))
+        return std::nullopt;
+    const std::string_view digits = line.substr(kVersionBytes, 3);
+    const bool isNumber = std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; });
+    const bool isInRange = digits[0] >= '1' && digits[0] <= '5';
+    if (!isNumber || !isInRange)
+        return std::nullopt;
+    return (digits[0] - '0') * 100 + (digits[1] - '0') * 10 + (digits[2] - '0');
+}
+
 bool isSafeMethod(const std::string& method) { return method == "GET" || method == "HEAD" || method == "OPTIONS"; }
 
 bool asksToClose(const HeaderList& headers)
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -67,6 +67,9 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+// The status in the status line of a response, with or without its line end; nothing if the line is none of HTTP/1 or
+// its status is no three digits from 100 to 599 (RFC 9112, 4; RFC 9110, 15).
+std::optional<int> parseStatusLine(std::string_view);
 // Whether requests with this method may be handled side by side, because none has an effect.
 bool isSafeMethod(const std::string& method);
 // The head of a response, up to and including the empty line. Without a body length the body follows in chunks.
