Cold upstreams: a bound on the requests of any second, kept before coldness is known

Cause: an upstream may turn cold at any moment, and its entry says so up to 2 s later. Nothing bounded its requests but its slots, and a fast machine's slots take more than a cold upstream may get. Change: the coordinator counts what it has started at an upstream since the upstream was last proven warm, and holds the next request at half of the bound, so that two coordinators keep to it together; one that begins to send keeps to a quarter. An upstream's answer to a question for its health is the proof, and is asked for before the requests are used up. Once an entry or an answer says that the upstream is cold, its requests are paced at the stated rate, its slots count for what that rate fills, and a range leader takes that rate as its capacity. Status, counters, log lines. It acts only for services that state a rate.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -100,8 +100,11 @@
     RateNotice (*readRate)(const HttpAnswer&);
     // Nothing if the answer is another upstream's or belongs to another request than the one with this id.
     UpstreamNotice (*readNotice)(const HttpAnswer&, const std::string& sentId, const UpstreamName& sentTo);
-    // Asks an upstream for its health. The answer is read by readNotice().
+    // Asks an upstream for its health. The answer is read by readNotice() and readHealth().
     HttpCall (*healthCall)(const UpstreamInstance&, const std::string& healthPath, const std::string& id);
+    // How much longer the upstream is cold by an answer to that; zero: it is warm. Nothing if the answer is not proven
+    // to be the upstream's, or cannot be read.
+    std::optional<Millis> (*readHealth)(const HttpAnswer&, const std::string& sentId, const UpstreamName& sentTo);
 };
 
 } // namespace pistachiospur
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -23,6 +23,9 @@
     return (static_cast<std::size_t>(settings.limits.memoryMb) << 20) / divisor;
 }
 
+// An upstream's entry tells that it is cold within so many heartbeats, the way of the change included.
+constexpr int kColdEntryBeats = 2;
+
 // Upstreams of a pooled service in one group: enough to even out load within the shared queue, few enough for one host
 // to coordinate.
 constexpr std::size_t kUpstreamsPerGroup = 8;
@@ -54,6 +57,7 @@
     , hub(settings.peers, Hello { settings.host, incarnation, false, kMessageKinds }, std::move(handlers),
           memoryPart(settings, kBacklogDivisor))
 {
+    coldness.entryDelay = kColdEntryBeats * Millis(settings.limits.upstreamHeartbeatMs);
 }
 
 bool isSelf(const GatewayContext& context, const HostName& host) { return host == context.settings.host; }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -4,6 +4,7 @@
 #include "membership/reach.h"
 #include "observe/metrics.h"
 #include "peers/hub.h"
+#include "requests/coldness.h"
 #include "requests/pause.h"
 #include "requests/quarantine.h"
 #include "requests/stop.h"
@@ -62,6 +63,7 @@
     std::map<ServiceName, PendingRanges> pending;
     std::map<ServiceName, PoolGroups> groups;
     Pauses pauses; // of this host, and of the hosts that send requests in turns which this host gives
+    Coldness coldness; // of the upstreams that this host coordinates
     Reach reach; // of this host
     Quarantine quarantine; // changed by QuarantineMonitor
     std::vector<BrokenRun> brokenRuns; // noted by noteRun(), settled by QuarantineMonitor
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -1,5 +1,6 @@
 #include "dispatch.h"
 
+#include "cold_monitor.h"
 #include "notices.h"
 #include "observe/events.h"
 #include "quarantine_monitor.h"
@@ -119,27 +120,43 @@
 // Sets the number of requests that a pool runs concurrently to the sum over its available instances.
 void Dispatcher::refreshSlots(Pool& pool)
 {
+    const Millis now = monotonicNow();
+    const auto cold = coldBoundOf(m_context, pool.service);
     pool.policy.maxConcurrent = 0;
-    for (const auto* member : availableMembers(pool, monotonicNow()))
-        pool.policy.maxConcurrent += member->instance.slots;
-    refreshPace(pool, pool.policy, monotonicNow());
+    for (const auto* member : availableMembers(pool, now)) {
+        const auto known = pool.members.find(member->instance.id);
+        const double runMs = known == pool.members.end() ? 0 : known->second.runMs;
+        pool.policy.maxConcurrent += cold
+            ? usableSlots(m_context.coldness, member->instance.id, member->instance.slots, runMs, *cold, now)
+            : member->instance.slots;
+    }
+    refreshPace(pool, pool.policy, now);
 }
 
-// Sets what the stated limits allow a pool to start. There is no limit as long as one member states none.
+// Whether any upstream states a limit or is known to be cold.
+bool Dispatcher::mayBePaced(Millis now) const { return !m_paces.empty() || now < m_context.coldness.anyColdUntil; }
+
+// Sets what the stated limits and the bounds of cold upstreams allow a pool to start. There is no limit as long as one
+// member has none.
 void Dispatcher::refreshPace(const Pool& pool, QueuePolicy& policy, Millis now) const
 {
     policy.startsPerSecond.reset();
     policy.nextStartIn = Millis(0);
-    if (m_paces.empty())
+    if (!mayBePaced(now))
         return;
+    const auto cold = coldBoundOf(m_context, pool.service);
     double perSecond = 0;
     std::optional<Millis> next;
     for (const auto* member : availableMembers(pool, now)) {
-        const auto pace = m_paces.find(member->instance.id);
-        if (pace == m_paces.end())
+        const InstanceId& id = member->instance.id;
+        const auto pace = m_paces.find(id);
+        const bool isHeld = cold && isCold(m_context.coldness, id, now);
+        if (pace == m_paces.end() && !isHeld)
             return;
-        perSecond += *pace->second.perSecond;
-        const Millis ready = timeToStart(pace->second, 0, now);
+        const double stated = pace == m_paces.end() ? cold->perSecond : *pace->second.perSecond;
+        perSecond += isHeld ? std::min(stated, cold->perSecond) : stated;
+        const Millis ready = std::max(pace == m_paces.end() ? Millis(0) : timeToStart(pace->second, 0, now),
+            isHeld ? timeToStart(m_context.coldness, id, *cold, now) : Millis(0));
         next = std::min(next.value_or(ready), ready);
     }
     if (!next)
@@ -249,6 +266,8 @@
 {
     const InstanceEntry* best = nullptr;
     double minCost = 0;
+    const auto cold = coldBoundOf(m_context, pool.service);
+    std::vector<const InstanceEntry*> held;
     for (const auto* candidate : availableMembers(pool, now)) {
         const InstanceEntry& entry = *candidate;
         const Member& member = pool.members[entry.instance.id];
@@ -257,6 +276,10 @@
             || pauseLeft(m_context.pauses, entry.instance.id, origin.sender, now) > Millis(0);
         if (member.running >= entry.instance.slots || isPaused)
             continue;
+        if (cold && coldWait(m_context, entry, *cold, now) > Millis(0)) {
+            held.push_back(&entry);
+            continue;
+        }
         const bool isNear = entry.instance.dataCentre == origin.dataCentre;
         const bool isAvoided = now < member.avoidedUntil
             || (!origin.sender.empty() && !reaches(m_context, origin.sender, entry.instance));
@@ -266,6 +289,10 @@
             minCost = cost;
         }
     }
+    for (const auto* it : held) {
+        if (!best)
+            takeHeld(m_context, *it, *cold, now);
+    }
     return best;
 }
 
@@ -313,6 +340,8 @@
     ++pool.members[job.instance].running;
     if (const auto pace = m_paces.find(job.instance); pace != m_paces.end())
         spendStart(pace->second, job.startedAt);
+    if (const auto cold = coldBoundOf(m_context, pool.service))
+        takeStart(m_context, entry, *cold, job.startedAt);
     if (job.onTurn)
         return job.onTurn(job.instance);
     job.call = sendRequest(m_context, entry.instance, job.request, job.rest,
@@ -443,6 +472,8 @@
         for (const auto& dropped : dropLate(pool.queue, pool.policy, now))
             finish(pool, dropped.id, notRun(RefusalReason::queueFull, retryAfter(pool, dropped.order)));
         refusePaused(pool);
+        if (mayBePaced(now))
+            refreshSlots(pool);
         startWaiting(pool);
     }
 }
@@ -453,7 +484,7 @@
     if (found == m_pools.end() || found->second.policy.maxConcurrent == 0)
         return Millis(0);
     const Pool& pool = found->second;
-    if (!m_paces.empty()) {
+    if (mayBePaced(monotonicNow())) {
         QueuePolicy policy = pool.policy;
         refreshPace(pool, policy, monotonicNow());
         if (policy.startsPerSecond)
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -112,6 +112,7 @@
     JobId enqueueJob(const UpstreamName&, Job);
     void onReply(const std::string& poolName, JobId, Reply, const RateNotice&);
     void noteRate(const Job&, const RateNotice&, Millis now);
+    bool mayBePaced(Millis now) const;
     void refreshPace(const Pool&, QueuePolicy&, Millis now) const;
     Millis retryAfter(const Pool&, RankOrder) const;
     void finish(Pool&, JobId, Reply);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,6 +56,7 @@
     , m_watcher(m_context, m_catchUp)
     , m_reachMonitor(m_context)
     , m_quarantineMonitor(m_context)
+    , m_coldMonitor(m_context)
     , m_dispatcher(m_context)
     , m_frontend(m_context, m_dispatcher)
     , m_callerServer(
@@ -149,6 +150,7 @@
     m_catchUp.tick();
     m_reachMonitor.tick();
     m_quarantineMonitor.tick();
+    m_coldMonitor.tick();
     for (auto& [name, leader] : m_leaders)
         leader->tick();
     if (std::exchange(m_context.rangesChanged, false)) {
@@ -385,7 +387,7 @@
         { "store_era", m_context.directory.storeEra().value }, { "copy_age_ms", m_context.directory.age().count() },
         { "store_reached", m_context.directory.isStoreReachable() }, { "stopping", m_context.stopping },
         { "open_requests", m_frontend.pendingCount() }, { "hosts", hosts }, { "upstreams", upstreams },
-        { "keepers", leaders }, { "quarantine", m_quarantineMonitor.report() } };
+        { "keepers", leaders }, { "quarantine", m_quarantineMonitor.report() }, { "cold", m_coldMonitor.report() } };
     return { 200, { { "Content-Type", "application/json" } }, status.dump() };
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cold_monitor.h"
 #include "frontend.h"
 #include "leader.h"
 #include "quarantine_monitor.h"
@@ -64,6 +65,7 @@
     StoreWatcher m_watcher;
     ReachMonitor m_reachMonitor;
     QuarantineMonitor m_quarantineMonitor;
+    ColdMonitor m_coldMonitor;
     Dispatcher m_dispatcher;
     GatewayFrontend m_frontend;
     std::map<ServiceName, std::unique_ptr<RangeLeader>> m_leaders; // candidates included: one for each keyed service
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -1,5 +1,6 @@
 #include "leader.h"
 
+#include "cold_monitor.h"
 #include "observe/events.h"
 
 #include <algorithm>
@@ -294,7 +295,8 @@
         const double runMs = it == m_runMs.end() ? kDefaultRunMs : it->second;
         const bool mayReceive
             = !failing.count(entry.instance.id) && !isFailing(m_context.reach, m_service, entry.instance.id);
-        found.push_back({ entry.instance.id, entry.instance.slots * 1000.0 / runMs, mayReceive });
+        const double capacity = coldCapacity(m_context, entry, entry.instance.slots * 1000.0 / runMs);
+        found.push_back({ entry.instance.id, capacity, mayReceive });
     }
     return found;
 }
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -423,6 +423,13 @@
     const std::string target = headerText(request, "target-instance");
     if (!target.empty() && target != m_name)
         return responder.respond({ 421, { { "Instance-Id", m_name } }, "" });
+    if (request.path == "/health") {
+        ++healthQuestions;
+        HttpResponse health { 200, { { "Instance-Id", m_name }, { "Request-Id", headerText(request, "request-id") } },
+            "" };
+        health.headers.insert(health.headers.end(), notices.begin(), notices.end());
+        return responder.respond(std::move(health));
+    }
     callTimes.push_back(monotonicNow());
     if (!turnsAwayFor.empty()) {
         HttpResponse refusal { 503,
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -190,10 +190,11 @@
     Millis runTime { 5 }; // of each request
     std::string statedLimit; // named in each answer, if not empty
     std::vector<std::pair<std::string, std::string>>
-        notices; // headers added to each answer to a request, and to each 503
+        notices; // headers added to each answer to a request or to a question for its health, and to each 503
+    unsigned healthQuestions = 0;
     bool sealsAnswers = true;
     std::string turnsAwayFor; // if not empty, every call is answered 503 with this Retry-After
-    std::vector<Millis> callTimes; // of every call, orders included; monotonic clock
+    std::vector<Millis> callTimes; // of every call but those, orders included; monotonic clock
     bool crashed = false; // while set, every call fails
     Millis grantDelay {}; // if set, grants are not answered and take effect this late, unless it starts again
     std::vector<ReceivedRequest> received;
