--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -1,5 +1,6 @@
 #include "leader.h"
 
+#include "cold_monitor.h"
 #include "observe/events.h"
 
 #include <algorithm>
@@ -279,7 +280,8 @@
         const double runMs = runMsOf(m_ownerSpeeds, entry.instance.id);
         const bool mayReceive
             = !failing.count(entry.instance.id) && !isFailing(m_context.reach, m_service, entry.instance.id);
-        found.push_back({ entry.instance.id, entry.instance.slots * 1000.0 / runMs, mayReceive });
+        const double capacity = coldCapacity(m_context, entry, entry.instance.slots * 1000.0 / runMs);
+        found.push_back({ entry.instance.id, capacity, mayReceive });
     }
     return found;
 }
