Evacuation of a data centre; expected completion and bounded work for failing upstreams

The bound counts from the last copy without the key. Pooled services leave at once; ranges move out in even steps in the first half of evacuate_ms, the busiest owners first; a closed data centre gets nothing, its requests are refused at once. The age of a copy is bounded by evacuate_ms as well. A store that returns from an older copy neither takes a request back nor brings an old one back.

Answers of 500 and more are no samples of run time; an upstream that fails a quarter of its answers comes last and at a bounded rate, unless its whole group fails. Groups without reports and failures choose as before (tested).

The two parts share hunks of the dispatcher and were built and tested together.

--- a/src/gateway/catch_up.cpp
+++ b/src/gateway/catch_up.cpp
@@ -44,7 +44,8 @@
 bool CatchUp::isOld() const
 {
     const auto& limits = m_context.settings.limits;
-    return m_context.directory.age() >= Millis(std::min(limits.changeMs, limits.drainMs)) * kAskAgePercent / 100;
+    return m_context.directory.age()
+        >= Millis(std::min({ limits.changeMs, limits.drainMs, limits.evacuateMs })) * kAskAgePercent / 100;
 }
 
 // Each host has an order of its own, so that the hosts of a data centre do not all ask the same one.
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -339,7 +339,7 @@
     using Place = std::pair<ServiceName, DataCentreName>;
     std::map<Place, std::vector<const UpstreamInstance*>> instancesByPlace, remaining;
     for (const auto& [name, entry] : context.directory.instances()) {
-        if (mayTakeWork(entry, now))
+        if (mayTakeWork(context, entry, now))
             instancesByPlace[{ entry.instance.service, entry.instance.dataCentre }].push_back(&entry.instance);
     }
     for (auto& [place, instances] : instancesByPlace) {
@@ -383,4 +383,42 @@
 
 bool mayTakeWork(const InstanceEntry& entry, Millis now) { return !entry.noNewWorkFrom || now < *entry.noNewWorkFrom; }
 
+namespace {
+
+bool isKeyed(const GatewayContext& context, const ServiceName& name)
+{
+    const auto& routes = context.directory.routes();
+    const auto service = routes ? routes->services.find(name) : std::map<ServiceName, RoutedService>::const_iterator();
+    return routes && service != routes->services.end() && service->second.keyed;
+}
+
+bool isShutOut(const GatewayContext& context, const UpstreamInstance& upstream)
+{
+    const Evacuations& evacuations = context.directory.evacuations();
+    if (!isEvacuated(evacuations, upstream.dataCentre))
+        return false;
+    return !isKeyed(context, upstream.service)
+        || isClosed(evacuations, upstream.dataCentre, Millis(context.settings.limits.evacuateMs), bootNow());
+}
+
+} // namespace
+
+bool mayTakeWork(const GatewayContext& context, const InstanceEntry& entry, Millis now)
+{
+    return mayTakeWork(entry, now) && !isShutOut(context, entry.instance);
+}
+
+bool isEvacuated(const GatewayContext& context, const UpstreamInstance& upstream)
+{
+    return isEvacuated(context.directory.evacuations(), upstream.dataCentre);
+}
+
+bool isHeldBack(GatewayContext& context, const UpstreamInstance& upstream)
+{
+    const bool isHeld = isShutOut(context, upstream);
+    if (isHeld)
+        context.metrics.count("pistachiospur_evacuation_refusals_total", { { "data_centre", upstream.dataCentre } });
+    return isHeld;
+}
+
 } // namespace pistachiospur
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -36,6 +36,12 @@
 
 using PoolGroups = std::vector<PoolGroup>;
 
+// A report of load that its coordinator has not taken note of.
+struct ReportedLoad {
+    UpstreamLoad load;
+    Millis reportedAt {};
+};
+
 // A run of a request that ended with its connection. Whether its upstream has ended as well is not known yet.
 struct BrokenRun {
     std::uint64_t fingerprint = 0;
@@ -62,6 +68,7 @@
     std::map<ServiceName, PendingRanges> pending;
     std::map<ServiceName, PoolGroups> groups;
     Pauses pauses; // of this host, and of the hosts that send requests in turns which this host gives
+    std::map<InstanceId, ReportedLoad> loads; // from the latest answers to this host, and to hosts in their turns
     Reach reach; // of this host
     Quarantine quarantine; // changed by QuarantineMonitor
     std::vector<BrokenRun> brokenRuns; // noted by noteRun(), settled by QuarantineMonitor
@@ -135,7 +142,13 @@
 // another upstream or the slot's range is pending. True if this host has no table, or an older one than the request was
 // routed by, and for requests to pooled services.
 bool mayServe(const GatewayContext&, const Request&, const UpstreamName&, Millis now);
-// Whether the upstream may get new requests.
+// Whether the upstream may get new requests, as far as it concerns the upstream itself.
 bool mayTakeWork(const InstanceEntry&, Millis now);
+// Whether the upstream may get new requests: also whether its data centre is emptied.
+bool mayTakeWork(const GatewayContext&, const InstanceEntry&, Millis now);
+// Whether the upstream's data centre is to be emptied. If it owns ranges, it may still get requests for a while.
+bool isEvacuated(const GatewayContext&, const UpstreamInstance&);
+// Whether the upstream gets no requests because its data centre is emptied. Counts a request that is refused for that.
+bool isHeldBack(GatewayContext&, const UpstreamInstance&);
 
 } // namespace pistachiospur
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -246,7 +246,11 @@
 
 Millis Directory::lapseGrace() const { return std::max(Millis(0), m_lapseGraceEnd - monotonicNow()); }
 
-void Directory::confirm(Millis at) { m_confirmedAt = std::max(m_confirmedAt, at); }
+void Directory::confirm(Millis at)
+{
+    m_confirmedBefore = m_confirmedAt;
+    m_confirmedAt = std::max(m_confirmedAt, at);
+}
 
 void Directory::readAlone()
 {
@@ -295,6 +299,7 @@
         applyTable(*it);
     batch.changes.erase(firstTable, batch.changes.end());
     recordDeletions(m_history, batch);
+    applyWithdrawals(batch);
     for (const auto& it : mergeBatch(m_known, std::move(batch)))
         apply(it);
     if (!isEmpty)
@@ -352,10 +357,34 @@
         applyHost(change.key.substr(kHostPrefix.size()), change);
     else if (beginsWith(change.key, kLeaderPrefix))
         applyLeader(change.key.substr(kLeaderPrefix.size()), change);
+    else if (beginsWith(change.key, m_adapter.evacuationPrefix))
+        applyEvacuation(change.key.substr(m_adapter.evacuationPrefix.size()), change);
     else if (const auto fingerprint = quarantinedFingerprint(change.key))
         applyQuarantine(*fingerprint, change);
 }
 
+// What the request says does not matter; the key alone stands for it.
+void Directory::applyEvacuation(const DataCentreName& dataCentre, const KeyChange& change)
+{
+    const Millis now = bootNow();
+    if (change.text)
+        noteEvacuation(m_evacuations, dataCentre, change.version, now - (monotonicNow() - m_confirmedBefore), now);
+    else
+        noteMissing(m_evacuations, dataCentre, change.version);
+}
+
+// A batch that is made of watched changes shows deletions, also those of keys that are missing from the copy already.
+void Directory::applyWithdrawals(const ChangeBatch& batch)
+{
+    if (batch.fromRead)
+        return;
+    const std::string& prefix = m_adapter.evacuationPrefix;
+    for (const auto& it : batch.changes) {
+        if (!it.text && beginsWith(it.key, prefix))
+            noteWithdrawal(m_evacuations, it.key.substr(prefix.size()), it.version);
+    }
+}
+
 void Directory::applyQuarantine(std::uint64_t fingerprint, const KeyChange& change)
 {
     std::vector<FieldError> faults;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -2,6 +2,7 @@
 
 #include "adapter.h"
 #include "lease.h"
+#include "membership/evacuation.h"
 #include "observe/events.h"
 #include "records.h"
 #include "settings.h"
@@ -94,6 +95,7 @@
     const std::optional<RoutingTable>& routes() const { return m_routes; }
     const std::map<UpstreamName, InstanceEntry>& instances() const { return m_instances; }
     const std::map<HostName, HostEntry>& hosts() const { return m_hosts; }
+    const Evacuations& evacuations() const { return m_evacuations; }
     // Rises with each change of which hosts there are, and of their data centres and weights.
     std::uint64_t hostsVersion() const { return m_hostsVersion; }
     const LeaderEntry* leaderOf(const ServiceName&) const;
@@ -156,6 +158,8 @@
     void applyHost(const HostName&, const KeyChange&);
     void applyLeader(const ServiceName&, const KeyChange&);
     void applyQuarantine(std::uint64_t fingerprint, const KeyChange&);
+    void applyEvacuation(const DataCentreName&, const KeyChange&);
+    void applyWithdrawals(const ChangeBatch&);
     void noteRefusal(
         const char* event, const EventField& subject, const KeyChange&, const std::vector<FieldError>& faults);
     void setLeader(const ServiceName&, LeaderEntry);
@@ -181,6 +185,8 @@
     Millis m_suspendedFor {}; // of the boot clock, the time that the monotonic clock has not counted
     // The copy is known to have held every change of the store at this time, on the monotonic clock.
     Millis m_confirmedAt { -100000 };
+    // The same for the confirmation before: a change that is applied now was not in the copy then.
+    Millis m_confirmedBefore { -100000 };
     Millis m_watchAnsweredAt { -100000 };
     Millis m_watchFailedAt { -100000 };
     Millis m_historyLostAt { -100000 };
@@ -193,6 +199,7 @@
     std::map<InstanceId, Millis> m_departures; // when instances first said that they leave, on the monotonic clock
     std::map<HostName, HostEntry> m_hosts;
     std::uint64_t m_hostsVersion = 1;
+    Evacuations m_evacuations;
     Millis m_nextRemovalAt { 0 }; // monotonic clock: no instance or host is to be removed before
     std::map<ServiceName, LeaderEntry> m_leaders;
     std::map<ServiceName, StoredTable> m_tables;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -22,14 +22,22 @@
 // An upstream that did not run a request, for example because it refused the connection or shed load, is avoided for
 // this long while others of its group have free slots.
 constexpr Millis kAvoidTime { 300 };
-// Weight of the newest sample in the EWMA of an upstream's run time.
-constexpr double kRunTimeWeight = 0.15;
+// An upstream that answers with such a status or a higher one has failed the request.
+constexpr int kFirstErrorStatus = 500;
 // A host reports the end of a turn at the request's deadline at the latest; a lost report is noticed this much later.
 constexpr Millis kTurnMargin { 500 };
 constexpr Millis kTurnCheckInterval { 500 };
 // Retry-After for the caller when no upstream can take the request.
 constexpr Millis kRefusalRetryAfter { 250 };
 
+// Whether the upstream failed a request, and not its caller or another host.
+bool isUpstreamFailure(const Reply& reply)
+{
+    if (const auto* answer = std::get_if<Answer>(&reply))
+        return answer->status >= kFirstErrorStatus;
+    return std::get<Refusal>(reply).reason == RefusalReason::upstreamBroken;
+}
+
 const char* outcomeName(const Reply& reply)
 {
     const auto* refusal = std::get_if<Refusal>(&reply);
@@ -110,19 +118,18 @@
     for (const auto& name : names) {
         const auto it = m_context.directory.instances().find(name);
         if (it != m_context.directory.instances().end() && it->second.instance.service == pool.service
-            && mayTakeWork(it->second, now))
+            && mayTakeWork(m_context, it->second, now))
             members.push_back(&it->second);
     }
     return members;
 }
 
-// Sets the number of requests that a pool runs concurrently to the sum over its available instances.
+// Sets the number of requests that a pool runs concurrently to what its available instances can be expected to serve.
 void Dispatcher::refreshSlots(Pool& pool)
 {
-    pool.policy.maxConcurrent = 0;
-    for (const auto* member : availableMembers(pool, monotonicNow()))
-        pool.policy.maxConcurrent += member->instance.slots;
-    refreshPace(pool, pool.policy, monotonicNow());
+    const Millis now = monotonicNow();
+    pool.policy.maxConcurrent = usableSlots(candidatesOf(pool, availableMembers(pool, now), {}, now));
+    refreshPace(pool, pool.policy, now);
 }
 
 // Sets what the stated limits allow a pool to start. There is no limit as long as one member states none.
@@ -244,29 +251,31 @@
         RefusalReason::upstreamPaused, std::max(pause, expectedWait(pool.service, pool.upstreamOrGroup, order)));
 }
 
-// The available instance with a free slot and the lowest cost for a request, or null.
-const InstanceEntry* Dispatcher::chooseMember(Pool& pool, const RequestOrigin& origin, Millis now)
+// What is known of the available instances of a pool, as targets of a request.
+std::vector<UpstreamCandidate> Dispatcher::candidatesOf(
+    Pool& pool, const std::vector<const InstanceEntry*>& entries, const RequestOrigin& origin, Millis now)
 {
-    const InstanceEntry* best = nullptr;
-    double minCost = 0;
-    for (const auto* candidate : availableMembers(pool, now)) {
-        const InstanceEntry& entry = *candidate;
-        const Member& member = pool.members[entry.instance.id];
-        const auto pace = m_paces.find(entry.instance.id);
+    std::vector<UpstreamCandidate> candidates;
+    for (const auto* entry : entries) {
+        const UpstreamInstance& instance = entry->instance;
+        const Member& member = pool.members[instance.id];
+        const auto pace = m_paces.find(instance.id);
         const bool isPaused = (pace != m_paces.end() && timeToStart(pace->second, 0, now) > Millis(0))
-            || pauseLeft(m_context.pauses, entry.instance.id, origin.sender, now) > Millis(0);
-        if (member.running >= entry.instance.slots || isPaused)
-            continue;
-        const bool isNear = entry.instance.dataCentre == origin.dataCentre;
-        const bool isAvoided = now < member.avoidedUntil
-            || (!origin.sender.empty() && !reaches(m_context, origin.sender, entry.instance));
-        const double cost = upstreamCost({ member.runMs, member.running, isNear, isAvoided }, origin.hasLargeBody);
-        if (!best || cost < minCost) {
-            best = &entry;
-            minCost = cost;
-        }
+            || pauseLeft(m_context.pauses, instance.id, origin.sender, now) > Millis(0);
+        const bool isAvoided
+            = now < member.avoidedUntil || (!origin.sender.empty() && !reaches(m_context, origin.sender, instance));
+        candidates.push_back({ &member.stats, member.running, instance.slots,
+            member.running < instance.slots && !isPaused, instance.dataCentre == origin.dataCentre, isAvoided });
     }
-    return best;
+    return candidates;
+}
+
+// The available instance that a request goes to now, or null.
+const InstanceEntry* Dispatcher::chooseMember(Pool& pool, const RequestOrigin& origin, Millis now)
+{
+    const auto entries = availableMembers(pool, now);
+    const auto chosen = chooseUpstream(candidatesOf(pool, entries, origin, now), pool.times, origin.hasLargeBody, now);
+    return chosen ? entries[*chosen] : nullptr;
 }
 
 // Refuses the waiting requests that have been quarantined since they arrived.
@@ -310,7 +319,10 @@
     job.running = true;
     job.startedAt = monotonicNow();
     job.instance = entry.instance.id;
-    ++pool.members[job.instance].running;
+    Member& member = pool.members[job.instance];
+    ++member.running;
+    noteSent(member.stats, job.startedAt);
+    job.workFactor = workFactorNow(member.stats, job.startedAt);
     if (const auto pace = m_paces.find(job.instance); pace != m_paces.end())
         spendStart(pace->second, job.startedAt);
     if (job.onTurn)
@@ -320,7 +332,8 @@
             Reply reply, const RateNotice& rate) { onReply(pool, id, std::move(reply), rate); });
 }
 
-void Dispatcher::endTurn(JobId id, Reply reply, const RateNotice& rate, Millis pause)
+void Dispatcher::endTurn(
+    JobId id, Reply reply, const RateNotice& rate, Millis pause, const std::optional<UpstreamLoad>& load)
 {
     const auto pool = m_poolNames.find(id);
     if (pool == m_poolNames.end())
@@ -329,6 +342,8 @@
     if (!job.running)
         return;
     notePause(m_context.pauses, job.instance, job.origin.sender, pause, monotonicNow());
+    if (load)
+        m_context.loads[job.instance] = { *load, monotonicNow() };
     onReply(std::string(pool->second), id, std::move(reply), rate);
 }
 
@@ -363,10 +378,13 @@
         = refusal && refusal->reason != RefusalReason::upstreamPaused && refusal->reason != RefusalReason::quarantined;
     if (isOfUpstream && refusal->ran == Ran::no) {
         member.avoidedUntil = now + kAvoidTime;
-    } else if (!refusal) {
-        const double ms = static_cast<double>((now - job.startedAt).count());
-        member.runMs = member.runMs == 0 ? ms : member.runMs + kRunTimeWeight * (ms - member.runMs);
     }
+    if (const auto report = m_context.loads.extract(job.instance))
+        noteLoad(member.stats, report.mapped().load, member.running, report.mapped().reportedAt);
+    if (isUpstreamFailure(reply))
+        noteFailure(job, member);
+    else if (!refusal)
+        noteServed(member.stats, pool.times, job.request.order, now - job.startedAt, job.workFactor, now);
     const bool replaced = refusal && refusal->reason == RefusalReason::upstreamReplaced;
     const InstanceId instance = job.instance;
     const Millis pause = pauseLeftFor(pool, job.origin, now);
@@ -380,6 +398,17 @@
     startWaiting(pool);
 }
 
+// Logs when an upstream begins to fail requests; work then goes to others of its group.
+void Dispatcher::noteFailure(const Job& job, Member& member)
+{
+    const bool wasFailing = isFailing(member.stats);
+    noteFailed(member.stats);
+    m_context.metrics.count("pistachiospur_upstream_failures_total", { { "service", job.request.service } });
+    if (!wasFailing && isFailing(member.stats))
+        logEvent(EventKind::state, "upstream_failing",
+            { { "upstream", job.instance.name }, { "service", job.request.service }, { "request", job.request.id } });
+}
+
 void Dispatcher::finish(Pool& pool, JobId id, Reply reply)
 {
     auto node = pool.jobs.extract(id);
@@ -389,9 +418,8 @@
     Job& job = node.mapped();
     if (job.running) {
         --pool.members[job.instance].running;
-        const bool answered = std::holds_alternative<Answer>(reply);
-        finishRun(
-            pool.queue, job.request.order, answered ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
+        const bool served = std::holds_alternative<Answer>(reply) && !isUpstreamFailure(reply);
+        finishRun(pool.queue, job.request.order, served ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
     }
     job.callback(std::move(reply));
 }
@@ -429,7 +457,7 @@
         }
     }
     for (const auto id : overdue)
-        endTurn(id, maybeRun(RefusalReason::upstreamTimeout), {}, Millis(0));
+        endTurn(id, maybeRun(RefusalReason::upstreamTimeout), {}, Millis(0), std::nullopt);
 }
 
 void Dispatcher::tick()
@@ -517,6 +545,8 @@
 {
     for (auto it = m_paces.begin(); it != m_paces.end();)
         it = m_context.directory.findInstance(it->first) ? std::next(it) : m_paces.erase(it);
+    for (auto it = m_context.loads.begin(); it != m_context.loads.end();)
+        it = m_context.directory.findInstance(it->first) ? std::next(it) : m_context.loads.erase(it);
     for (auto& [name, pool] : m_pools) {
         refreshPolicy(pool);
         if (pool.policy.maxConcurrent == 0) {
@@ -552,8 +582,8 @@
             const auto* entry = m_context.directory.findInstance(instance);
             const double pacedMs
                 = pace == m_paces.end() || !entry ? 0 : 1000.0 * entry->instance.slots / *pace->second.perSecond;
-            if (member.runMs > 0)
-                runs.push_back({ instance, std::max(member.runMs, pacedMs) });
+            if (member.stats.runMs > 0)
+                runs.push_back({ instance, std::max(member.stats.runMs, pacedMs) });
         }
     }
     return runs;
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "context.h"
+#include "requests/completion.h"
 #include "requests/pace.h"
 #include "requests/queue.h"
-#include "requests/spread.h"
 
 #include <functional>
 #include <map>
@@ -48,8 +48,8 @@
     // before.
     JobId submitForTurn(const UpstreamName&, Request, Callback, TurnCallback, RequestOrigin);
     // Frees the slot of a request that had its turn. `pause` is how much longer the upstream wants nothing from the
-    // request's sender.
-    void endTurn(JobId, Reply, const RateNotice&, Millis pause);
+    // request's sender; `load` what the upstream's answer states of its load.
+    void endTurn(JobId, Reply, const RateNotice&, Millis pause, const std::optional<UpstreamLoad>& load);
     // Drops a waiting request. A running request is aborted only if it is idempotent.
     void cancel(JobId);
     // Refuses waiting requests that can no longer meet their deadline, and starts others.
@@ -77,13 +77,14 @@
         TurnCallback onTurn; // empty if this host sends the request
         InstanceId instance; // runs the request; set once `running`
         Millis startedAt {};
+        double workFactor = 1; // of the upstream's machine at the start
         HttpClient::CallId call = 0;
         bool running = false;
     };
     // State of one upstream instance of a pool.
     struct Member {
         unsigned running = 0; // requests
-        double runMs = 0; // mean run time; 0 while unknown
+        UpstreamStats stats;
         Millis avoidedUntil {}; // monotonic clock: chosen only if no other member has a free slot
     };
     // One upstream of a keyed service or one group of a pooled service, with its queue.
@@ -94,6 +95,7 @@
         QueuePolicy policy;
         std::unordered_map<JobId, Job> jobs;
         std::map<InstanceId, Member> members;
+        GroupTimes times;
     };
 
     Pool& findOrCreatePool(const ServiceName&, const UpstreamName&);
@@ -104,6 +106,8 @@
     void refuseQuarantined(Pool&);
     Millis pauseLeftFor(const Pool&, const RequestOrigin&, Millis now) const;
     Refusal pausedRefusal(const Pool&, RankOrder, Millis pause) const;
+    std::vector<UpstreamCandidate> candidatesOf(
+        Pool&, const std::vector<const InstanceEntry*>&, const RequestOrigin&, Millis now);
     const InstanceEntry* chooseMember(Pool&, const RequestOrigin&, Millis now);
     std::vector<const InstanceEntry*> availableMembers(const Pool&, Millis now) const;
     void startWaiting(Pool&);
@@ -111,6 +115,7 @@
     void sendToUpstream(Pool&, JobId, const InstanceEntry&);
     JobId enqueueJob(const UpstreamName&, Job);
     void onReply(const std::string& poolName, JobId, Reply, const RateNotice&);
+    void noteFailure(const Job&, Member&);
     void noteRate(const Job&, const RateNotice&, Millis now);
     void refreshPace(const Pool&, QueuePolicy&, Millis now) const;
     Millis retryAfter(const Pool&, RankOrder) const;
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -36,6 +36,8 @@
 constexpr Millis kUnreadableRouteRetryAfter { 2000 };
 // Retry-After, and expected wait, while a slot has no owner that gets new work.
 constexpr Millis kNoOwnerRetryAfter { 300 };
+// Retry-After while a slot's owner is in a data centre that has been emptied and no other upstream can take the slot.
+constexpr Millis kEvacuatedRetryAfter { 1000 };
 // Min Retry-After for a range that has not reached its owner, even if the estimate for that has already passed.
 constexpr Millis kMinRetryAfter { 100 };
 // Deadline of a request whose caller states none.
@@ -220,6 +222,8 @@
     if (readyIn > Millis(0))
         return waitForRange(id, readyIn);
     const InstanceEntry* owner = m_context.directory.findInstance(range->owner);
+    if (owner && isHeldBack(m_context, owner->instance))
+        return onReply(id, attemptNumber, notRun(RefusalReason::noOwner, kEvacuatedRetryAfter));
     if (!owner || !mayTakeWork(*owner, monotonicNow()))
         return waitForRange(id, kNoOwnerRetryAfter);
     request.tableRevision = stored->revision;
@@ -337,6 +341,11 @@
         m_context.hub.send(from, RelayTurnOver { turn.id, refused, {} });
         return onReply(id, attempt, refused);
     }
+    if (isHeldBack(m_context, upstream->instance)) {
+        m_context.hub.send(from, RelayTurnOver { turn.id, notRun(RefusalReason::noOwner), {} });
+        // The coordinator did not know of the evacuation; it chooses again.
+        return onReply(id, attempt, notRun(RefusalReason::notCoordinator));
+    }
     if (const Millis pause = ownPauseLeft(m_context, turn.instance, monotonicNow()); pause > Millis(0)) {
         m_context.hub.send(from, RelayTurnOver { turn.id, notRun(RefusalReason::upstreamPaused, pause), {}, pause });
         // The coordinator did not know; it chooses again, or refuses if there is no other upstream.
@@ -352,7 +361,8 @@
     pending.call = sendRequest(m_context, upstream->instance, pending.request, { pending.rest, pending.bodyBytes },
         [this, id, attempt, turn, from](Reply reply, const RateNotice& rate) {
             const Millis pause = ownPauseLeft(m_context, turn.instance, monotonicNow());
-            endTurn(from, turn.id, reply, rate, pause);
+            const auto report = m_context.loads.extract(turn.instance);
+            endTurn(from, turn.id, reply, rate, pause, report ? std::optional(report.mapped().load) : std::nullopt);
             const auto it = m_pending.find(id);
             const auto* refusal = std::get_if<Refusal>(&reply);
             // The one owner of a key takes nothing from this host any more, so another attempt would be refused.
@@ -364,10 +374,10 @@
 }
 
 // Tells the coordinator how the request ended, without headers and body.
-void GatewayFrontend::endTurn(
-    const HostName& coordinator, std::uint64_t relay, const Reply& reply, const RateNotice& rate, Millis pause)
+void GatewayFrontend::endTurn(const HostName& coordinator, std::uint64_t relay, const Reply& reply,
+    const RateNotice& rate, Millis pause, const std::optional<UpstreamLoad>& load)
 {
-    RelayTurnOver over { relay, reply, rate, pause };
+    RelayTurnOver over { relay, reply, rate, pause, load };
     if (const auto* answer = std::get_if<Answer>(&reply))
         over.reply = Answer { answer->status, {}, {} };
     m_context.hub.send(coordinator, over);
@@ -568,7 +578,7 @@
     const bool bodyArriving = pending.rest && !pending.rest->isAtEnd();
     if (pending.state == State::sending && (pending.request.idempotent || bodyArriving)) {
         m_context.http.cancel(pending.call);
-        endTurn(pending.coordinator, relay, reply, {}, Millis(0));
+        endTurn(pending.coordinator, relay, reply, {}, Millis(0), std::nullopt);
     }
     complete(id, reply);
     if (link != kNoLink)
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -84,7 +84,8 @@
     void forward(RequestId, const UpstreamName&, const DataCentreName& preferredDataCentre);
     unsigned chooseGroupFor(const PendingRequest&);
     void recordGroupLoad(PendingRequest&, const Reply&, Millis wait);
-    void endTurn(const HostName& coordinator, std::uint64_t relay, const Reply&, const RateNotice&, Millis pause);
+    void endTurn(const HostName& coordinator, std::uint64_t relay, const Reply&, const RateNotice&, Millis pause,
+        const std::optional<UpstreamLoad>& load);
     void waitForRange(RequestId, Millis readyIn);
     void onReply(RequestId, unsigned attempt, Reply, Millis wait = Millis(0));
     void noteFailedConnection(PendingRequest&);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,6 +56,7 @@
     , m_watcher(m_context, m_catchUp)
     , m_reachMonitor(m_context)
     , m_quarantineMonitor(m_context)
+    , m_evacuationMonitor(m_context)
     , m_dispatcher(m_context)
     , m_frontend(m_context, m_dispatcher)
     , m_callerServer(
@@ -134,6 +135,7 @@
         m_callerServer.setLimits(
             { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout, true });
     }
+    m_evacuationMonitor.tick();
     regroupPools(m_context);
     m_dispatcher.refresh();
     m_frontend.refresh();
@@ -149,6 +151,10 @@
     m_catchUp.tick();
     m_reachMonitor.tick();
     m_quarantineMonitor.tick();
+    if (m_evacuationMonitor.tick()) {
+        m_dispatcher.refresh();
+        m_frontend.refresh();
+    }
     for (auto& [name, leader] : m_leaders)
         leader->tick();
     if (std::exchange(m_context.rangesChanged, false)) {
@@ -189,7 +195,8 @@
             },
             [&](const RelayTurn& received) { m_frontend.onTurn(from, received); },
             [&](RelayTurnOver& received) {
-                onTurnOver({ sender, received.id }, std::move(received.reply), received.rate, received.pause);
+                onTurnOver(
+                    { sender, received.id }, std::move(received.reply), received.rate, received.pause, received.load);
             },
             [&](const LoadReport& report) {
                 const auto leader = m_leaders.find(report.service);
@@ -289,11 +296,12 @@
         m_dispatcher.cancel(found->second.job);
 }
 
-void Gateway::onTurnOver(const RelayKey& key, Reply reply, const RateNotice& rate, Millis pause)
+void Gateway::onTurnOver(
+    const RelayKey& key, Reply reply, const RateNotice& rate, Millis pause, const std::optional<UpstreamLoad>& load)
 {
     const auto found = m_relayedRequests.find(key);
     if (found != m_relayedRequests.end() && found->second.hadTurn)
-        m_dispatcher.endTurn(found->second.job, std::move(reply), rate, pause);
+        m_dispatcher.endTurn(found->second.job, std::move(reply), rate, pause, load);
 }
 
 // Cancels the requests that arrived over a lost link, because the peer has given them up.
@@ -306,7 +314,7 @@
             orphans.push_back(key);
     }
     for (const auto& key : orphans) {
-        onTurnOver(key, maybeRun(RefusalReason::hostLost), {}, Millis(0));
+        onTurnOver(key, maybeRun(RefusalReason::hostLost), {}, Millis(0), std::nullopt);
         onRelayCancel(key);
     }
 }
@@ -385,7 +393,8 @@
         { "store_era", m_context.directory.storeEra().value }, { "copy_age_ms", m_context.directory.age().count() },
         { "store_reached", m_context.directory.isStoreReachable() }, { "stopping", m_context.stopping },
         { "open_requests", m_frontend.pendingCount() }, { "hosts", hosts }, { "upstreams", upstreams },
-        { "keepers", leaders }, { "quarantine", m_quarantineMonitor.report() } };
+        { "keepers", leaders }, { "quarantine", m_quarantineMonitor.report() },
+        { "evacuations", m_evacuationMonitor.report() } };
     return { 200, { { "Content-Type", "application/json" } }, status.dump() };
 }
 
@@ -423,6 +432,7 @@
         = [this](const auto& it) { return isQuarantined(m_context.quarantine, it.first, monotonicNow()); };
     m_context.metrics.set("pistachiospur_quarantined", {},
         static_cast<double>(std::count_if(suspects.begin(), suspects.end(), isRefused)));
+    m_evacuationMonitor.publishMetrics();
     publishTraffic(m_context.metrics, m_context.hub);
     for (const auto& [kind, n] : m_context.directory.store().callCounts())
         m_context.metrics.raise("pistachiospur_store_calls_total", { { "kind", kind } }, static_cast<double>(n));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "evacuation_monitor.h"
 #include "frontend.h"
 #include "leader.h"
 #include "quarantine_monitor.h"
@@ -44,7 +45,7 @@
     void onRelay(const HostLife& from, LinkId, Relay);
     void replyToRelay(const RelayKey&, Reply, Millis wait);
     void onRelayCancel(const RelayKey&);
-    void onTurnOver(const RelayKey&, Reply, const RateNotice&, Millis pause);
+    void onTurnOver(const RelayKey&, Reply, const RateNotice&, Millis pause, const std::optional<UpstreamLoad>& load);
     void onLinkLost(const LostLink&);
     void onRangeUpdate(RangeUpdate);
     void onDirectoryChange();
@@ -64,6 +65,7 @@
     StoreWatcher m_watcher;
     ReachMonitor m_reachMonitor;
     QuarantineMonitor m_quarantineMonitor;
+    EvacuationMonitor m_evacuationMonitor;
     Dispatcher m_dispatcher;
     GatewayFrontend m_frontend;
     std::map<ServiceName, std::unique_ptr<RangeLeader>> m_leaders; // candidates included: one for each keyed service
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -288,7 +288,7 @@
         failing.insert(lost.upstreams.begin(), lost.upstreams.end());
     for (const auto& [name, entry] : m_context.directory.instances()) {
         if (entry.instance.service != m_service || !mayTakeWork(entry, now) || entry.instance.draining
-            || isUnreachable(entry.instance.id))
+            || isUnreachable(entry.instance.id) || isEvacuated(m_context, entry.instance))
             continue;
         const auto it = m_runMs.find(entry.instance.id);
         const double runMs = it == m_runMs.end() ? kDefaultRunMs : it->second;
@@ -299,6 +299,37 @@
     return found;
 }
 
+// Adds the upstreams that still own ranges in a data centre that is emptied, and whose turn to give them up has not
+// come. Their ranges are fixed.
+void RangeLeader::addEvacuatedOwners(std::vector<OwnerCapacity>& owners, std::set<std::uint32_t>& fixed,
+    const std::vector<Range>& ranges, const SlotLoads& loads) const
+{
+    const auto& active = m_context.directory.evacuations().active;
+    if (active.empty())
+        return;
+    std::vector<EvacuatedOwner> evacuated;
+    for (const auto& [name, entry] : m_context.directory.instances()) {
+        const auto evacuation = active.find(entry.instance.dataCentre);
+        if (evacuation == active.end() || entry.instance.service != m_service || !mayTakeWork(entry, monotonicNow())
+            || entry.instance.draining || isUnreachable(entry.instance.id))
+            continue;
+        const Millis evacuateTime(m_context.settings.limits.evacuateMs);
+        const auto run = m_runMs.find(entry.instance.id);
+        const double runMs = run == m_runMs.end() ? kDefaultRunMs : run->second;
+        evacuated.push_back({ { entry.instance.id, entry.instance.slots * 1000.0 / runMs, false },
+            emptyBy(evacuation->second, evacuateTime) - bootNow() });
+    }
+    std::set<InstanceId> staying;
+    for (auto& it : ownersThatStay(ranges, evacuated, loads, !owners.empty(), kPlanInterval)) {
+        staying.insert(it.id);
+        owners.push_back(std::move(it));
+    }
+    for (const auto& it : ranges) {
+        if (staying.count(it.owner))
+            fixed.insert(it.first.value);
+    }
+}
+
 // The ranges to write next: without previous owners where the new owner has accepted a grant, with a new fencing token
 // where the owner has seen a higher one, and with the moves of a new plan. Sets `changed` if they differ from the
 // table.
@@ -330,7 +361,8 @@
     SlotLoads loads = m_loads;
     for (auto& [slot, load] : loads)
         load *= ratePerCount;
-    const auto eligible = eligibleOwners();
+    auto eligible = eligibleOwners();
+    addEvacuatedOwners(eligible, fixed, ranges, loads);
     BalancePolicy policy;
     policy.maxMoves = std::max(policy.maxMoves, static_cast<unsigned>(eligible.size() / kOwnersPerMove));
     for (const auto& it : planMoves(ranges, eligible, loads, fixed, policy)) {
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "ranges/balance.h"
+#include "ranges/evacuate.h"
 #include "ranges/ledger.h"
 
 #include <map>
@@ -111,6 +112,8 @@
 
     void plan();
     std::vector<OwnerCapacity> eligibleOwners() const;
+    void addEvacuatedOwners(
+        std::vector<OwnerCapacity>&, std::set<std::uint32_t>& fixed, const std::vector<Range>&, const SlotLoads&) const;
     std::vector<Range> initialRanges();
     std::vector<Range> nextRanges(bool& changed);
     void allowForUnknownGrants(std::vector<Range>&) const;
--- a/src/gateway/notices.cpp
+++ b/src/gateway/notices.cpp
@@ -8,6 +8,8 @@
     GatewayContext& context, const InstanceId& instance, const UpstreamNotice& notice, const std::string& sentId)
 {
     const Millis now = monotonicNow();
+    if (notice.load)
+        context.loads[instance] = { *notice.load, now };
     if (notePause(context.pauses, instance, context.settings.host, notice.pause, now)) {
         logEvent(EventKind::state, "upstream_paused",
             { { "upstream", instance.name }, { "born", instance.startTime.value }, { "ms", notice.pause.count() },
--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -31,7 +31,7 @@
 Millis partOfChangeTime(const GatewayContext& context, int percent)
 {
     const auto& limits = context.settings.limits;
-    return Millis(std::min(limits.changeMs, limits.drainMs) * percent / 100);
+    return Millis(std::min({ limits.changeMs, limits.drainMs, limits.evacuateMs }) * percent / 100);
 }
 
 } // namespace
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -63,6 +63,11 @@
             "store revisions that this host's copy lacks of the latest that its watching host has announced" },
         { "pistachiospur_copy_requests_total", "counter",
             "requests to other hosts for what this host's copy of the store lacks" },
+        { "pistachiospur_upstream_failures_total", "counter",
+            "requests that upstreams failed with errors of their own or invalid answers, by service" },
+        { "pistachiospur_evacuated_data_centres", "gauge", "data centres that an operator empties" },
+        { "pistachiospur_evacuation_refusals_total", "counter",
+            "requests not sent to an upstream because its data centre is emptied, by data centre" },
         { "pistachiospur_owned_slots", "gauge", "slots owned, by upstream" },
         { "pistachiospur_burn_rate", "gauge", "error budget burn rate by service, rank and window" },
     };
--- a/src/requests/spread.cpp
+++ b/src/requests/spread.cpp
@@ -56,12 +56,17 @@
     return last;
 }
 
+double placedCost(double expectedMs, bool isNear, bool isAvoided, bool hasLargeBody)
+{
+    const double remoteFactor = hasLargeBody ? kRemoteBodyCostFactor : kRemoteCostFactor;
+    return expectedMs * (isNear ? 1 : remoteFactor) + (isAvoided ? kAvoidedCostMs : 0);
+}
+
 double upstreamCost(const UpstreamTarget& upstream, bool hasLargeBody)
 {
-    double cost = (upstream.runMs > 0 ? upstream.runMs : kInitialRunMs) * (1 + kCostPerRunning * upstream.running);
-    if (!upstream.isNear)
-        cost *= hasLargeBody ? kRemoteBodyCostFactor : kRemoteCostFactor;
-    return cost + (upstream.isAvoided ? kAvoidedCostMs : 0);
+    const double runMs = upstream.runMs > 0 ? upstream.runMs : kInitialRunMs;
+    return placedCost(
+        runMs * (1 + kCostPerRunning * upstream.running), upstream.isNear, upstream.isAvoided, hasLargeBody);
 }
 
 } // namespace pistachiospur
--- a/src/requests/spread.h
+++ b/src/requests/spread.h
@@ -44,6 +44,8 @@
     bool isAvoided = false; // it did not run a request lately
 };
 
+// The cost of an upstream that is expected to take this long, by where it is and whether it is avoided.
+double placedCost(double expectedMs, bool isNear, bool isAvoided, bool hasLargeBody);
 // The lower, the sooner the upstream is expected to answer. A request with a large body rather waits for a slower
 // upstream of its own data centre than crosses to another.
 double upstreamCost(const UpstreamTarget&, bool hasLargeBody);
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -384,7 +384,7 @@
 std::string RangeUpstream::entry(const std::string& state) const
 {
     return Json {
-        { "service", m_service }, { "address", "127.0.0.1:" + std::to_string(m_server.port()) }, { "zone", "z1" },
+        { "service", m_service }, { "address", "127.0.0.1:" + std::to_string(m_server.port()) }, { "zone", dataCentre },
         { "version", "v1" }, { "slots", 2 }, { "state", state }, { "warmup-left-ms", 0 }, { "sequence", 1 },
         { "born", m_startTime }
     }.dump();
@@ -499,7 +499,7 @@
     received.push_back({ id, request.method, request.target, request.body, headerText(request, "deadline-ms"), false });
     responder.onDisconnect([this, n] { received[n].callerGone = true; });
     m_timers.push_back(std::make_unique<Timer>([this, responder, id, name = m_name, limit = statedLimit] {
-        HttpResponse response { 200, { { "Request-Id", id } }, "from " + name };
+        HttpResponse response { status, { { "Request-Id", id } }, "from " + name };
         if (sealsAnswers)
             response.headers.emplace_back("Server-Seal", "seal-" + id);
         response.headers.insert(response.headers.end(), notices.begin(), notices.end());
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -187,7 +187,9 @@
     // Handover token of the last grant that had one.
     std::string lastHandover() const { return m_lastHandover; }
 
+    std::string dataCentre { "z1" };
     Millis runTime { 5 }; // of each request
+    int status = 200; // of answers to requests
     std::string statedLimit; // named in each answer, if not empty
     std::vector<std::pair<std::string, std::string>>
         notices; // headers added to each answer to a request, and to each 503
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -80,6 +80,7 @@
     std::vector<Endpoint> callerEndpoints;
     std::vector<Endpoint> adminEndpoints;
     HttpClient client { 1u << 20 };
+    std::function<void(GatewayLimits&)> adjustLimits; // of the hosts that are added from then on
 
     explicit Fixture(int hosts = 2)
     {
@@ -93,9 +94,11 @@
 
     ~Fixture() { gateways.clear(); }
 
-    RangeUpstream& add(const std::string& service, const std::string& name, std::int64_t startTime = 1000)
+    RangeUpstream& add(const std::string& service, const std::string& name, std::int64_t startTime = 1000,
+        const std::string& dataCentre = "z1")
     {
         upstreams.push_back(std::make_unique<RangeUpstream>(service, name, startTime, service == "keyed"));
+        upstreams.back()->dataCentre = dataCentre;
         store.put("servers/" + name, upstreams.back()->entry());
         return *upstreams.back();
     }
@@ -114,6 +117,8 @@
         settings.processorPercent = processorPercent;
         for (const auto& it : gatewayOptions())
             settings.limits.*it.field = it.defaultValue;
+        if (adjustLimits)
+            adjustLimits(settings.limits);
         gateways.push_back(std::make_unique<Gateway>(settings, "", adapter));
         gateways.back()->start();
         callerEndpoints.push_back(settings.callers);
--- a/tests/notices_test.cpp
+++ b/tests/notices_test.cpp
@@ -294,4 +294,45 @@
     }
 }
 
+// Guards against reports of load that reach only the host that got the answer: one host coordinates both upstreams.
+BOOST_AUTO_TEST_CASE(workGoesToTheFasterMachineWhicheverHostSendsIt)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed(0));
+    BOOST_REQUIRE(site.waitUntilServed(1));
+    RangeUpstream& slow = *site.upstreams.back();
+    RangeUpstream& fast = site.add("pool", "p1");
+    waitFor(site, Millis(700));
+    slow.notices = { { "Backend-Load", "0,0,2,1500" } };
+    fast.notices = { { "Backend-Load", "0,0,2,100" } };
+    for (std::size_t host = 0; host < 2; ++host) {
+        for (int n = 0; n < 4; ++n)
+            site.send("/pool/x", "told" + std::to_string(n), host);
+        const std::size_t before = slow.received.size(), all = before + fast.received.size();
+        for (int n = 0; n < 20; ++n)
+            site.send("/pool/x", "sent" + std::to_string(n), host);
+        BOOST_TEST(slow.received.size() + fast.received.size() == all + 20);
+        BOOST_TEST(slow.received.size() <= before + 5); // it is tried once a second
+    }
+}
+
+// Guards against an upstream that fails its requests at once and so looks like the fastest.
+BOOST_AUTO_TEST_CASE(upstreamThatFailsAtOnceGetsLittleOfItsGroupsWork)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed(0));
+    BOOST_REQUIRE(site.waitUntilServed(1));
+    RangeUpstream& failing = *site.upstreams.back();
+    RangeUpstream& sound = site.add("pool", "p1");
+    sound.runTime = Millis(20);
+    waitFor(site, Millis(700));
+    failing.status = 500;
+    BOOST_TEST(countServed(site, "/pool/x", "failing", 60) >= 50u);
+    failing.status = 200;
+    BOOST_TEST(site.runLoopUntil([&, before = failing.received.size()] {
+        countServed(site, "/pool/x", "mended", 2);
+        return failing.received.size() > before + 20;
+    }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
