--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -23,14 +23,22 @@
 // An upstream that did not run a request, for example because it refused the connection or shed load, is avoided for
 // this long while others of its group have free slots.
 constexpr Millis kAvoidTime { 300 };
-// Weight of the newest sample in the EWMA of an upstream's run time.
-constexpr double kRunTimeWeight = 0.15;
+// An upstream that answers with such a status or a higher one has failed the request.
+constexpr int kFirstErrorStatus = 500;
 // A host reports the end of a turn at the request's deadline at the latest; a lost report is noticed this much later.
 constexpr Millis kTurnMargin { 500 };
 constexpr Millis kTurnCheckInterval { 500 };
 // Retry-After for the caller when no upstream can take the request.
 constexpr Millis kRefusalRetryAfter { 250 };
 
+// Whether the upstream failed a request, and not its caller or another host.
+bool isUpstreamFailure(const Reply& reply)
+{
+    if (const auto* answer = std::get_if<Answer>(&reply))
+        return answer->status >= kFirstErrorStatus;
+    return std::get<Refusal>(reply).reason == RefusalReason::upstreamBroken;
+}
+
 const char* outcomeName(const Reply& reply)
 {
     const auto* refusal = std::get_if<Refusal>(&reply);
@@ -111,25 +119,25 @@
     for (const auto& name : names) {
         const auto it = m_context.directory.instances().find(name);
         if (it != m_context.directory.instances().end() && it->second.instance.service == pool.service
-            && mayTakeWork(it->second, now))
+            && mayTakeWork(m_context, it->second, now))
             members.push_back(&it->second);
     }
     return members;
 }
 
-// Sets the number of requests that a pool runs concurrently to the sum over its available instances.
+// Sets the number of requests that a pool runs concurrently to what its available instances can be expected to serve.
 void Dispatcher::refreshSlots(Pool& pool)
 {
     const Millis now = monotonicNow();
     const auto cold = coldBoundOf(m_context, pool.service);
-    pool.policy.maxConcurrent = 0;
-    for (const auto* member : availableMembers(pool, now)) {
-        const auto known = pool.members.find(member->instance.id);
-        const double runMs = known == pool.members.end() ? 0 : known->second.runMs;
-        pool.policy.maxConcurrent += cold
-            ? usableSlots(m_context.coldness, member->instance.id, member->instance.slots, runMs, *cold, now)
-            : member->instance.slots;
-    }
+    const auto entries = availableMembers(pool, now);
+    auto candidates = candidatesOf(pool, entries, {}, now);
+    for (std::size_t n = 0; cold && n < entries.size(); ++n) {
+        const UpstreamInstance& instance = entries[n]->instance;
+        const double runMs = pool.members[instance.id].stats.runMs;
+        candidates[n].slots = usableSlots(m_context.coldness, instance.id, instance.slots, runMs, *cold, now);
+    }
+    pool.policy.maxConcurrent = usableSlots(candidates);
     refreshPace(pool, pool.policy, now);
 }
 
@@ -303,39 +311,48 @@
         RefusalReason::upstreamPaused, std::max(pause, expectedWait(pool.service, pool.upstreamOrGroup, order)));
 }
 
-// The available instance with a free slot and the lowest cost for a request, or null.
-const InstanceEntry* Dispatcher::chooseMember(Pool& pool, const RequestOrigin& origin, Millis now)
+// Whether an instance has a free slot, and neither its stated limit nor a pause forbids a start.
+bool Dispatcher::wantsRequest(
+    Pool& pool, const UpstreamInstance& instance, const RequestOrigin& origin, Millis now) const
+{
+    const auto pace = m_paces.find(instance.id);
+    return pool.members[instance.id].running < instance.slots
+        && (pace == m_paces.end() || timeToStart(pace->second, 0, now) == Millis(0))
+        && pauseLeft(m_context.pauses, instance.id, origin.sender, now) == Millis(0);
+}
+
+// What is known of the available instances of a pool, as targets of a request.
+std::vector<UpstreamCandidate> Dispatcher::candidatesOf(
+    Pool& pool, const std::vector<const InstanceEntry*>& entries, const RequestOrigin& origin, Millis now)
 {
-    const InstanceEntry* best = nullptr;
-    double minCost = 0;
     const auto cold = coldBoundOf(m_context, pool.service);
-    std::vector<const InstanceEntry*> held;
-    for (const auto* candidate : availableMembers(pool, now)) {
-        const InstanceEntry& entry = *candidate;
-        const Member& member = pool.members[entry.instance.id];
-        const auto pace = m_paces.find(entry.instance.id);
-        const bool isPaused = (pace != m_paces.end() && timeToStart(pace->second, 0, now) > Millis(0))
-            || pauseLeft(m_context.pauses, entry.instance.id, origin.sender, now) > Millis(0);
-        if (member.running >= entry.instance.slots || isPaused)
-            continue;
-        if (cold && coldWait(m_context, entry, *cold, now) > Millis(0)) {
-            held.push_back(&entry);
-            continue;
-        }
-        const bool isNear = entry.instance.dataCentre == origin.dataCentre;
-        const bool isAvoided = now < member.avoidedUntil
-            || (!origin.sender.empty() && !reaches(m_context, origin.sender, entry.instance));
-        const double cost = upstreamCost({ member.runMs, member.running, isNear, isAvoided }, origin.hasLargeBody);
-        if (!best || cost < minCost) {
-            best = &entry;
-            minCost = cost;
-        }
+    std::vector<UpstreamCandidate> candidates;
+    for (const auto* entry : entries) {
+        const UpstreamInstance& instance = entry->instance;
+        const Member& member = pool.members[instance.id];
+        const bool isHeld = cold && coldWait(m_context, *entry, *cold, now) > Millis(0);
+        const bool isAvoided
+            = now < member.avoidedUntil || (!origin.sender.empty() && !reaches(m_context, origin.sender, instance));
+        candidates.push_back(
+            { &member.stats, member.running, instance.slots, !isHeld && wantsRequest(pool, instance, origin, now),
+                instance.dataCentre == origin.dataCentre, isAvoided });
     }
-    for (const auto* it : held) {
-        if (!best)
+    return candidates;
+}
+
+// The available instance that a request goes to now, or null.
+const InstanceEntry* Dispatcher::chooseMember(Pool& pool, const RequestOrigin& origin, Millis now)
+{
+    const auto entries = availableMembers(pool, now);
+    const auto candidates = candidatesOf(pool, entries, origin, now);
+    if (const auto chosen = chooseUpstream(candidates, pool.runTimes, origin.hasLargeBody, now))
+        return entries[*chosen];
+    const auto cold = coldBoundOf(m_context, pool.service);
+    for (const auto* it : entries) {
+        if (cold && wantsRequest(pool, it->instance, origin, now) && coldWait(m_context, *it, *cold, now) > Millis(0))
             takeHeld(m_context, *it, *cold, now);
     }
-    return best;
+    return nullptr;
 }
 
 // Refuses the waiting requests that have been quarantined since they arrived.
@@ -378,11 +395,14 @@
     Job& job = pool.jobs.at(id);
     job.running = true;
     job.startedAt = monotonicNow();
-    QueueTimes& times = pool.times[job.request.rank];
+    QueueTimes& times = pool.queueTimes[job.request.rank];
     times.served += job.startedAt - job.queuedAt;
     ++times.servedCount;
     job.instance = entry.instance.id;
-    ++pool.members[job.instance].running;
+    Member& member = pool.members[job.instance];
+    ++member.running;
+    noteSent(member.stats, job.startedAt);
+    job.workFactor = workFactorNow(member.stats, job.startedAt);
     if (const auto pace = m_paces.find(job.instance); pace != m_paces.end())
         spendStart(pace->second, job.startedAt);
     if (const auto cold = coldBoundOf(m_context, pool.service))
@@ -394,7 +414,8 @@
             Reply reply, const RateNotice& rate) { onReply(pool, id, std::move(reply), rate); });
 }
 
-void Dispatcher::endTurn(JobId id, Reply reply, const RateNotice& rate, Millis pause)
+void Dispatcher::endTurn(
+    JobId id, Reply reply, const RateNotice& rate, Millis pause, const std::optional<UpstreamLoad>& load)
 {
     const auto pool = m_poolNames.find(id);
     if (pool == m_poolNames.end())
@@ -403,6 +424,8 @@
     if (!job.running)
         return;
     notePause(m_context.pauses, job.instance, job.origin.sender, pause, monotonicNow());
+    if (load)
+        m_context.loads[job.instance] = { *load, monotonicNow() };
     onReply(std::string(pool->second), id, std::move(reply), rate);
 }
 
@@ -437,10 +460,13 @@
         = refusal && refusal->reason != RefusalReason::upstreamPaused && refusal->reason != RefusalReason::quarantined;
     if (isOfUpstream && refusal->ran == Ran::no) {
         member.avoidedUntil = now + kAvoidTime;
-    } else if (!refusal) {
-        const double ms = static_cast<double>((now - job.startedAt).count());
-        member.runMs = member.runMs == 0 ? ms : member.runMs + kRunTimeWeight * (ms - member.runMs);
     }
+    if (const auto report = m_context.loads.extract(job.instance))
+        noteLoad(member.stats, report.mapped().load, member.running, report.mapped().reportedAt);
+    if (isUpstreamFailure(reply))
+        noteFailure(job, member);
+    else if (!refusal)
+        noteServed(member.stats, pool.runTimes, job.request.order, now - job.startedAt, job.workFactor, now);
     const bool replaced = refusal && refusal->reason == RefusalReason::upstreamReplaced;
     const InstanceId instance = job.instance;
     const Millis pause = pauseLeftFor(pool, job.origin, now);
@@ -454,6 +480,17 @@
     startWaiting(pool);
 }
 
+// Logs when an upstream begins to fail requests; work then goes to others of its group.
+void Dispatcher::noteFailure(const Job& job, Member& member)
+{
+    const bool wasFailing = isFailing(member.stats);
+    noteFailed(member.stats);
+    m_context.metrics.count("pistachiospur_upstream_failures_total", { { "service", job.request.service } });
+    if (!wasFailing && isFailing(member.stats))
+        logEvent(EventKind::state, "upstream_failing",
+            { { "upstream", job.instance.name }, { "service", job.request.service }, { "request", job.request.id } });
+}
+
 void Dispatcher::finish(Pool& pool, JobId id, Reply reply)
 {
     auto node = pool.jobs.extract(id);
@@ -463,11 +500,10 @@
     Job& job = node.mapped();
     if (job.running) {
         --pool.members[job.instance].running;
-        const bool answered = std::holds_alternative<Answer>(reply);
-        finishRun(
-            pool.queue, job.request.order, answered ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
+        const bool served = std::holds_alternative<Answer>(reply) && !isUpstreamFailure(reply);
+        finishRun(pool.queue, job.request.order, served ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
     } else {
-        QueueTimes& times = pool.times[job.request.rank];
+        QueueTimes& times = pool.queueTimes[job.request.rank];
         times.refused += monotonicNow() - job.queuedAt;
         ++times.refusedCount;
     }
@@ -507,7 +543,7 @@
         }
     }
     for (const auto id : overdue)
-        endTurn(id, maybeRun(RefusalReason::upstreamTimeout), {}, Millis(0));
+        endTurn(id, maybeRun(RefusalReason::upstreamTimeout), {}, Millis(0), std::nullopt);
 }
 
 void Dispatcher::tick()
@@ -599,6 +635,8 @@
 {
     for (auto it = m_paces.begin(); it != m_paces.end();)
         it = m_context.directory.findInstance(it->first) ? std::next(it) : m_paces.erase(it);
+    for (auto it = m_context.loads.begin(); it != m_context.loads.end();)
+        it = m_context.directory.findInstance(it->first) ? std::next(it) : m_context.loads.erase(it);
     for (auto& [name, pool] : m_pools) {
         refreshPolicy(pool);
         if (pool.policy.maxConcurrent == 0) {
@@ -634,8 +672,8 @@
             const auto* entry = m_context.directory.findInstance(instance);
             const double pacedMs
                 = pace == m_paces.end() || !entry ? 0 : 1000.0 * entry->instance.slots / *pace->second.perSecond;
-            if (member.runMs > 0)
-                runs.push_back({ instance, std::max(member.runMs, pacedMs) });
+            if (member.stats.runMs > 0)
+                runs.push_back({ instance, std::max(member.stats.runMs, pacedMs) });
         }
     }
     return runs;
@@ -659,7 +697,7 @@
     for (const auto& [name, pool] : m_pools) {
         for (const auto& [rank, counts] : pool.places.counts)
             sums[{ pool.service, rank }].first += counts;
-        for (const auto& [rank, times] : pool.times) {
+        for (const auto& [rank, times] : pool.queueTimes) {
             QueueTimes& sum = sums[{ pool.service, rank }].second;
             sum.served += times.served;
             sum.refused += times.refused;
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "context.h"
+#include "requests/completion.h"
 #include "requests/pace.h"
 #include "requests/places.h"
 #include "requests/queue.h"
 #include "requests/slot_share.h"
-#include "requests/spread.h"
 
 #include <functional>
 #include <map>
@@ -53,8 +53,8 @@
     // before.
     JobId submitForTurn(const UpstreamName&, Request, Callback, TurnCallback, RequestOrigin);
     // Frees the slot of a request that had its turn. `pause` is how much longer the upstream wants nothing from the
-    // request's sender.
-    void endTurn(JobId, Reply, const RateNotice&, Millis pause);
+    // request's sender; `load` what the upstream's answer states of its load.
+    void endTurn(JobId, Reply, const RateNotice&, Millis pause, const std::optional<UpstreamLoad>& load);
     // Drops a waiting request. A running request is aborted only if it is idempotent.
     void cancel(JobId);
     // Refuses waiting requests that can no longer meet their deadline, and starts others.
@@ -83,6 +83,7 @@
         InstanceId instance; // runs the request; set once `running`
         Millis queuedAt {};
         Millis startedAt {};
+        double workFactor = 1; // of the upstream's machine at the start
         HttpClient::CallId call = 0;
         bool running = false;
     };
@@ -94,7 +95,7 @@
     // State of one upstream instance of a pool.
     struct Member {
         unsigned running = 0; // requests
-        double runMs = 0; // mean run time; 0 while unknown
+        UpstreamStats stats;
         Millis avoidedUntil {}; // monotonic clock: chosen only if no other member has a free slot
     };
     // One upstream of a keyed service or one group of a pooled service, with its queue.
@@ -104,10 +105,11 @@
         UpstreamQueue queue;
         QueuePolicy policy;
         Places places;
-        std::map<RankName, QueueTimes> times;
+        std::map<RankName, QueueTimes> queueTimes;
         std::unordered_map<JobId, Job> jobs;
         std::map<InstanceId, Member> members;
         SlotArrivals slotArrivals; // of a keyed service
+        GroupTimes runTimes;
     };
 
     Pool& findOrCreatePool(const ServiceName&, const UpstreamName&);
@@ -119,6 +121,9 @@
     void refuseQuarantined(Pool&);
     Millis pauseLeftFor(const Pool&, const RequestOrigin&, Millis now) const;
     Refusal pausedRefusal(const Pool&, RankOrder, Millis pause) const;
+    bool wantsRequest(Pool&, const UpstreamInstance&, const RequestOrigin&, Millis now) const;
+    std::vector<UpstreamCandidate> candidatesOf(
+        Pool&, const std::vector<const InstanceEntry*>&, const RequestOrigin&, Millis now);
     const InstanceEntry* chooseMember(Pool&, const RequestOrigin&, Millis now);
     std::vector<const InstanceEntry*> availableMembers(const Pool&, Millis now) const;
     void startWaiting(Pool&);
@@ -126,6 +131,7 @@
     void sendToUpstream(Pool&, JobId, const InstanceEntry&);
     JobId enqueueJob(const UpstreamName&, Job);
     void onReply(const std::string& poolName, JobId, Reply, const RateNotice&);
+    void noteFailure(const Job&, Member&);
     void noteRate(const Job&, const RateNotice&, Millis now);
     bool mayBePaced(Millis now) const;
     void refreshPace(const Pool&, QueuePolicy&, Millis now) const;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cold_monitor.h"
+#include "evacuation_monitor.h"
 #include "frontend.h"
 #include "leader.h"
 #include "quarantine_monitor.h"
@@ -45,7 +46,7 @@
     void onRelay(const HostLife& from, LinkId, Relay);
     void replyToRelay(const RelayKey&, Reply, Millis wait);
     void onRelayCancel(const RelayKey&);
-    void onTurnOver(const RelayKey&, Reply, const RateNotice&, Millis pause);
+    void onTurnOver(const RelayKey&, Reply, const RateNotice&, Millis pause, const std::optional<UpstreamLoad>& load);
     void onLinkLost(const LostLink&);
     void onRangeUpdate(RangeUpdate);
     void onDirectoryChange();
@@ -66,6 +67,7 @@
     ReachMonitor m_reachMonitor;
     QuarantineMonitor m_quarantineMonitor;
     ColdMonitor m_coldMonitor;
+    EvacuationMonitor m_evacuationMonitor;
     Dispatcher m_dispatcher;
     GatewayFrontend m_frontend;
     std::map<ServiceName, std::unique_ptr<RangeLeader>> m_leaders; // candidates included: one for each keyed service
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "ranges/evacuate.h"
 #include "ranges/ledger.h"
 #include "ranges/owner_speeds.h"
 #include "ranges/planner.h"
@@ -112,6 +113,8 @@
 
     void plan();
     std::vector<OwnerCapacity> eligibleOwners() const;
+    void addEvacuatedOwners(
+        std::vector<OwnerCapacity>&, std::set<std::uint32_t>& fixed, const std::vector<Range>&, const SlotLoads&) const;
     std::vector<Range> initialRanges();
     std::vector<Range> nextRanges(bool& changed);
     void allowForUnknownGrants(std::vector<Range>&) const;
