Ranges: no move for balance on the first requests; a run that moved stays for 2 s, not 6

Change: loads measured over less than 1.5 s move nothing for balance; the dwell time is 2 s. Tests of HotSlotPlans and Ranges pass.

--- a/src/ranges/balance.cpp
+++ b/src/ranges/balance.cpp
@@ -19,6 +19,9 @@
 constexpr double kMaxUtilizationAfterJoin = 0.7;
 // A judged move fills its target up to this utilization or the mean of all, whichever is higher.
 constexpr double kJudgedUtilization = 0.5;
+// Loads measured over less than this, in seconds, move nothing for balance: a run of which only the first requests have
+// been counted would move whole, and overload its next owner.
+constexpr double kMinWindow = 1.5;
 // After so many judged moves that gain nothing, a source has nothing to give.
 constexpr unsigned kMaxRejections = 4;
 
@@ -369,8 +372,9 @@
         auto& target = targetIsIdle ? leastUtilized : *std::max_element(all.begin(), all.end(), hasLessRoom);
         if (!source.canGive || !target.receives() || &source == &target)
             return;
-        const bool isOverloaded
-            = source.hotSeconds > 0 || leastLoad(source.load, judge.window) > kKneeUtilization * source.owner.capacity;
+        const bool isOverloaded = source.hotSeconds > 0
+            || (judge.window >= kMinWindow
+                && leastLoad(source.load, judge.window) > kKneeUtilization * source.owner.capacity);
         MovableRange* part
             = !source.isMoving && (targetIsIdle || isOverloaded) ? busiestRangeOf(parts, source.owner.id) : nullptr;
         if (!part || rejections[source.owner.id] == kMaxRejections) {
--- a/src/ranges/plan_judge.h
+++ b/src/ranges/plan_judge.h
@@ -13,7 +13,7 @@
     double ownerlessSeconds = 0.3; // while a run moves
     double costPerSlot = 0.001; // of the handover, in requests served
     double minGain = 1; // requests served more
-    Millis dwell { 6000 }; // a run that moved stays where it is
+    Millis dwell { 2000 }; // a run that moved stays where it is
     Millis memory { 30000 }; // a run does not go back to its previous owner
 };
 
--- a/tests/hot_slots_test.cpp
+++ b/tests/hot_slots_test.cpp
@@ -293,6 +293,26 @@
     BOOST_TEST(std::any_of(moves.begin(), moves.end(), [](const Move& it) { return it.to == upstream(4); }));
 }
 
+// Guards against a busy run that moves whole on its first requests and then overloads its next owner.
+BOOST_AUTO_TEST_CASE(firstRequestsOfABusyRunMoveNothingAndItsNextOwnerIsRelievedLater)
+{
+    const auto owners = ownersOf({ 10, 10, 10, 10 });
+    const auto ranges = evenRanges(owners);
+    PlanMemory memory;
+    const auto countRun = [&] {
+        for (std::uint32_t slot = 100; slot < 112; ++slot)
+            countRequests(memory.rates, slot, 1);
+    };
+    countRun();
+    BOOST_TEST(planNextMoves(memory, ranges, owners, {}, {}, {}, Millis(0)).empty());
+    noteMove(memory.history, ranges, { 100 }, { 111 }, Millis(0));
+    for (Millis now { 0 }; now < Millis(4000); now += Millis(500)) {
+        decay(memory.rates, now);
+        countRun();
+    }
+    BOOST_TEST(!planNextMoves(memory, ranges, owners, {}, {}, {}, Millis(4000)).empty());
+}
+
 // Guards against plans that move a run back, or again within the dwell time, whatever the loads do.
 RC_BOOST_PROP(noPlanUndoesAnEarlierOneOrMovesARunAgainTooSoon, ())
 {
