--- a/src/daemon/admin.cpp
+++ b/src/daemon/admin.cpp
@@ -121,9 +121,9 @@
 
 HttpResponse Admin::owner(const HttpRequest& request) const
 {
-    const auto service = request.query.find("service");
-    const auto key = request.query.find("key");
-    if (service == request.query.end() || key == request.query.end())
+    const auto query = queryOf(request.target);
+    const auto service = query.find("service"), key = query.find("key");
+    if (service == query.end() || key == query.end())
         return jsonResponse({ { "error", "service-and-key-needed" } }, 400);
     const auto object = m_context.view.configuration.services.find(service->second);
     if (object == m_context.view.configuration.services.end())
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <system_error>
 
 ABSL_FLAG(std::string, settings, "", "path of the JSON settings file; default: the value of PISTACHIOSPUR_SETTINGS");
@@ -26,6 +27,8 @@
 constexpr int kOk = 0;
 constexpr int kBadSettings = 2;
 constexpr int kCannotListen = 3;
+// Memory blocks of this size or more, those of bodies, go back to the system when they are freed.
+constexpr int kReturnedBlockBytes = 128 << 10;
 
 int listSettings()
 {
@@ -81,6 +84,7 @@
     if (absl::GetFlag(FLAGS_help_settings))
         return listSettings();
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
     return leaf::try_handle_all([] { return start(settingsPath(), absl::GetFlag(FLAGS_check_settings)); },
         [](const DocumentError& error) {
             for (const auto& it : error.faults)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,8 +40,21 @@
 constexpr Millis kMemoryRetryAfter { 500 };
 constexpr std::size_t kMaxCallerBodyBytes = 64u << 20;
 constexpr std::size_t kMaxAdminBodyBytes = 4096;
+constexpr std::size_t kMaxAdminHeaderBytes = 16384;
+constexpr Millis kAdminHeaderTimeout { 5000 };
+// Parts of the memory and of the descriptors that the readiness checks, and the operators, may use.
+constexpr std::size_t kDoorMemoryDivisor = 32;
+constexpr std::int64_t kDoorDescriptorsDivisor = 16;
+constexpr int kDoorSendBufferBytes = 16 << 10;
+// Copies of the head of a caller's request while it waits for an upstream and is sent.
+constexpr std::size_t kHeadCopies = 3;
 const std::string kQuarantinePath = "/quarantine/";
 
+unsigned doorConnections(const GatewayLimits& limits)
+{
+    return static_cast<unsigned>(std::min(limits.doorConnections, limits.descriptors / kDoorDescriptorsDivisor));
+}
+
 template <typename... Handlers> struct Overloaded : Handlers... {
     using Handlers::operator()...;
 };
@@ -63,13 +76,17 @@
           [this](
               HttpRequest request, const Responder& responder) { m_frontend.onCaller(std::move(request), responder); },
           static_cast<unsigned>(settings.limits.descriptors / 2))
-    , m_readyServer(settings.ready, kMaxAdminBodyBytes,
+    , m_readyServer(
+          settings.ready, kMaxAdminBodyBytes,
           [this](const HttpRequest&, const Responder& responder) {
               const bool ready = m_context.directory.routes() && !m_context.stopping;
               responder.respond({ ready ? 200 : 503, {}, "" });
-          })
-    , m_adminServer(settings.admin, kMaxAdminBodyBytes,
-          [this](const HttpRequest& request, const Responder& responder) { responder.respond(answerAdmin(request)); })
+          },
+          doorConnections(settings.limits))
+    , m_adminServer(
+          settings.admin, kMaxAdminBodyBytes,
+          [this](const HttpRequest& request, const Responder& responder) { responder.respond(answerAdmin(request)); },
+          doorConnections(settings.limits))
     , m_tickTimer([this] { tick(); })
     , m_loadReportTimer([this] { sendLoadReports(); })
     , m_trafficTimer([this] { logTraffic(); })
@@ -84,6 +101,33 @@
     m_callerServer.setMaxUnsentBytes(m_context.bodyBudget->maxBytes());
     m_callerServer.setBodyBudget(m_context.bodyBudget,
         [this] { return m_context.adapter.refusalResponse(notRun(RefusalReason::memoryFull, kMemoryRetryAfter)); });
+    m_callerServer.setQuietTime(Millis(settings.limits.quietMs));
+    limitDoors();
+}
+
+// Callers of the readiness checks and of the operators' pages have limits and memory of their own, so that no crowd at
+// one door closes another. Until the first configuration is in force, the callers' door has the same limits of time.
+void Gateway::limitDoors()
+{
+    const GatewayLimits& given = m_context.settings.limits;
+    HttpLimits limits;
+    limits.headerBytes = kMaxAdminHeaderBytes;
+    limits.bodyBytes = kMaxAdminBodyBytes;
+    limits.headerTimeout = kAdminHeaderTimeout;
+    limits.bodyTimeout = kAdminHeaderTimeout;
+    limits.idleTimeout = Millis(given.doorIdleMs);
+    limits.outputBytes = 1; // one answer at a time
+    m_callerServer.setLimits(limits);
+    const std::size_t memory = (static_cast<std::size_t>(given.memoryMb) << 20) / kDoorMemoryDivisor;
+    for (HttpServer* it : { &m_readyServer, &m_adminServer }) {
+        it->setLimits(limits);
+        it->setBodyBudget(std::make_shared<MemoryBudget>(memory / 2), [] {
+            return HttpResponse { 503, { { "Retry-After", "1" } }, "" };
+        });
+        it->setMaxUnsentBytes(memory / 2);
+        it->setQuietTime(Millis(given.quietMs));
+        it->setSendBuffer(kDoorSendBufferBytes);
+    }
 }
 
 PeerHub::Handlers Gateway::peerHandlers()
@@ -131,8 +175,8 @@
     }
     if (routes) {
         const CallerLimits& limits = routes->limits;
-        m_callerServer.setLimits(
-            { limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout, true });
+        m_callerServer.setLimits({ limits.headerBytes, limits.bodyBytes, limits.headerTimeout,
+            Millis(m_context.settings.limits.bodyMs), limits.idleTimeout, true, kHeadCopies });
     }
     regroupPools(m_context);
     m_dispatcher.refresh();
@@ -399,6 +443,23 @@
     return { 204, {}, "" };
 }
 
+// Publishes what callers hold, and how many of their connections this host has closed, by door and reason.
+void Gateway::publishCallers()
+{
+    const std::pair<const char*, const HttpServer*> doors[]
+        = { { "callers", &m_callerServer }, { "ready", &m_readyServer }, { "admin", &m_adminServer } };
+    for (const auto& [door, server] : doors) {
+        m_context.metrics.set(
+            "pistachiospur_callers", { { "door", door } }, static_cast<double>(server->connectionCount()));
+        m_context.metrics.set(
+            "pistachiospur_caller_waiting_bytes", { { "door", door } }, static_cast<double>(server->unsentBytes()));
+        for (std::size_t n = 0; n < kCallerCloses; ++n)
+            m_context.metrics.raise("pistachiospur_callers_closed_total",
+                { { "door", door }, { "reason", kCallerCloseNames[n] } },
+                static_cast<double>(server->closeCounts()[n]));
+    }
+}
+
 HttpResponse Gateway::answerAdmin(const HttpRequest& request)
 {
     if (request.path == "/status")
@@ -427,6 +488,7 @@
     for (const auto& [kind, n] : m_context.directory.store().callCounts())
         m_context.metrics.raise("pistachiospur_store_calls_total", { { "kind", kind } }, static_cast<double>(n));
     m_context.metrics.set("pistachiospur_body_bytes", {}, static_cast<double>(m_context.bodyBudget->used()));
+    publishCallers();
     m_context.metrics.set("pistachiospur_configuration_faults", {},
         directory.routes() ? static_cast<double>(directory.routes()->faults.size()) : 0);
     m_context.metrics.set("pistachiospur_peer_links", {}, static_cast<double>(m_context.hub.linkCount()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,6 +52,8 @@
     void logTraffic();
     void tick();
     bool isBusy() const;
+    void limitDoors();
+    void publishCallers();
     HttpResponse answerAdmin(const HttpRequest&);
     HttpResponse statusReport() const;
     HttpResponse clearQuarantine(const std::string& fingerprint);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -54,9 +54,20 @@
             "the upstreams of a data centre that is to be emptied get nothing after this time, as set by the "
             "platform" },
         { "memory_mb", &GatewayLimits::memoryMb, 512, 16, 1 << 20, "MB",
-            "memory that the process may use; bodies of requests and answers in transit get a part of it" },
+            "memory that the process may use; an eighth of it is for requests of callers and other hosts with their "
+            "heads, an eighth for answers that callers have not taken and input that waits, an eighth for answers of "
+            "upstreams, and a 32nd each for the readiness checks and the operators" },
         { "descriptors", &GatewayLimits::descriptors, 4096, 64, 1 << 20, "descriptors",
             "file descriptors that the process may open; callers' connections get half of them" },
+        { "body_ms", &GatewayLimits::bodyMs, 60000, 1000, 3600000, "ms",
+            "time for a whole body of a caller that is received before its request is passed on" },
+        { "quiet_ms", &GatewayLimits::quietMs, 100, 1, 60000, "ms",
+            "while all callers' connections are in use and another waits, one without a running request that has made "
+            "no progress for this time is closed for it" },
+        { "door_connections", &GatewayLimits::doorConnections, 64, 4, 100000, "connections",
+            "connections to each of `ready` and `admin`; at most a 16th of the descriptors" },
+        { "door_idle_ms", &GatewayLimits::doorIdleMs, 30000, 1000, 3600000, "ms",
+            "an idle connection to `ready` or `admin` is closed after this time" },
     };
     return options;
 }
--- a/src/io/body.cpp
+++ b/src/io/body.cpp
@@ -4,11 +4,20 @@
 
 namespace pistachiospur {
 
+bool BodyCharge::hasRoomFor(std::size_t n) const
+{
+    const std::size_t left = m_budget->m_maxBytes - m_budget->m_used;
+    const bool isAlone = m_budget->m_used == m_bytes;
+    return left >= n && (isAlone || left - n >= m_bytes + n);
+}
+
 bool BodyCharge::take(std::size_t n)
 {
     if (!m_budget)
         return true;
-    if (m_budget->m_maxBytes - m_budget->m_used < n)
+    if (!hasRoomFor(n) && m_budget->m_reclaim)
+        m_budget->m_reclaim(m_bytes + 2 * n);
+    if (!hasRoomFor(n))
         return false;
     m_budget->m_used += n;
     m_bytes += n;
--- a/src/io/body.h
+++ b/src/io/body.h
@@ -9,7 +9,7 @@
 // Bodies in transit: how much memory they may use on this host, and the pipe through which a large body flows.
 namespace pistachiospur {
 
-// A bound on the memory for bodies, shared by all connections of a process.
+// A bound on the memory for requests, shared by all connections of a process.
 class MemoryBudget {
 public:
     explicit MemoryBudget(std::size_t maxBytes)
@@ -19,14 +19,17 @@
 
     std::size_t used() const { return m_used; }
     std::size_t maxBytes() const { return m_maxBytes; }
+    // Registers who frees memory when there is too little left, given the number of bytes that are needed.
+    void onShortage(std::function<void(std::size_t)> reclaim) { m_reclaim = std::move(reclaim); }
 
 private:
     friend class BodyCharge;
     std::size_t m_maxBytes;
     std::size_t m_used = 0;
+    std::function<void(std::size_t)> m_reclaim;
 };
 
-// Bytes that one body has taken from a budget; returned when it is destroyed.
+// Bytes that one request has taken from a budget; returned when it is destroyed.
 class BodyCharge {
 public:
     // Without a budget nothing is counted.
@@ -38,11 +41,15 @@
     BodyCharge(const BodyCharge&) = delete;
     BodyCharge& operator=(const BodyCharge&) = delete;
 
-    // Takes more bytes; false if the budget has too little left, and then takes none.
+    // Takes more bytes; false if the budget has too little left, and then takes none. As much as the request holds in
+    // all must remain for others, unless there are none, so that large requests cannot take everything.
     bool take(std::size_t n);
     void give(std::size_t n);
+    std::size_t bytes() const { return m_bytes; }
 
 private:
+    bool hasRoomFor(std::size_t n) const;
+
     std::shared_ptr<MemoryBudget> m_budget;
     std::size_t m_bytes = 0;
 };
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cstdlib>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <strings.h>
@@ -44,6 +45,13 @@
     Millis receivedAt {}; // monotonic clock; last bytes of the answer, or the start of the call
     std::unique_ptr<Timer> silenceTimer; // null without a silence time-out
 
+    // Size of the answer's body as its head states; zero if it does not.
+    std::size_t declaredBytes() const
+    {
+        const auto length = answer.headers.find("content-length");
+        return length == answer.headers.end() ? 0 : std::strtoull(length->second.c_str(), nullptr, 10);
+    }
+
     void noteReceived()
     {
         receivedAt = monotonicNow();
@@ -74,6 +82,8 @@
         transfer.tooLarge |= transfer.answer.body.size() + n > transfer.client->m_maxBodyBytes;
         if (transfer.tooLarge)
             return 0;
+        if (transfer.answer.body.empty())
+            transfer.answer.body.reserve(std::min(transfer.declaredBytes(), transfer.client->m_maxBodyBytes));
         transfer.answer.body.append(data, n);
         transfer.client->hold(transfer, n);
         noteEarlyAnswer(transfer);
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -23,6 +23,8 @@
 constexpr int kVersionNotSupported = 505;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+// What a field takes beside its text: a node of the map of headers.
+constexpr std::size_t kFieldOverhead = 128;
 
 absl::string_view view(beast::string_view text) { return { text.data(), text.size() }; }
 
@@ -53,15 +55,7 @@
 void readTarget(HttpRequest& request, absl::string_view target)
 {
     request.target = std::string(target);
-    const auto mark = target.find('?');
-    request.path = std::string(target.substr(0, mark));
-    if (mark == absl::string_view::npos)
-        return;
-    for (const absl::string_view part : absl::StrSplit(target.substr(mark + 1), '&', absl::SkipEmpty())) {
-        const auto equals = part.find('=');
-        request.query[percentDecoded(part.substr(0, equals))]
-            = equals == absl::string_view::npos ? "" : percentDecoded(part.substr(equals + 1));
-    }
+    request.path = std::string(target.substr(0, target.find('?')));
 }
 
 // Removes the headers that the "Connection" header names, since they concern this connection only.
@@ -94,6 +88,21 @@
 
 } // namespace
 
+std::map<std::string, std::string> queryOf(const std::string& target)
+{
+    std::map<std::string, std::string> query;
+    const auto mark = target.find('?');
+    if (mark == std::string::npos)
+        return query;
+    for (const absl::string_view part :
+        absl::StrSplit(absl::string_view(target).substr(mark + 1), '&', absl::SkipEmpty())) {
+        const auto equals = part.find('=');
+        query[percentDecoded(part.substr(0, equals))]
+            = equals == absl::string_view::npos ? "" : percentDecoded(part.substr(equals + 1));
+    }
+    return query;
+}
+
 struct RequestParser::Impl : http::basic_parser<true> {
     Impl(HttpRequest& target, OnBody callback)
         : request(target)
@@ -108,6 +117,7 @@
         version = static_cast<unsigned>(number);
         request.method = std::string(view(method));
         readTarget(request, view(target));
+        headBytes += request.method.size() + request.target.size() + request.path.size();
     }
 
     void on_field_impl(http::field, beast::string_view name, beast::string_view value, beast::error_code& ec) override
@@ -115,6 +125,7 @@
         ec = {};
         if (headDone) // a trailer
             return;
+        headBytes += name.size() + value.size() + kFieldOverhead;
         const auto [it, added] = request.headers.emplace(absl::AsciiStrToLower(view(name)), std::string(view(value)));
         if (added)
             return;
@@ -161,6 +172,7 @@
 
     HttpRequest& request;
     OnBody onBody;
+    std::size_t headBytes = 0;
     bool headDone = false;
     unsigned version = 0; // 11 for HTTP/1.1
     std::optional<int> error;
@@ -201,6 +213,7 @@
 }
 
 bool RequestParser::isHeadDone() const { return m_impl->headDone; }
+std::size_t RequestParser::headBytes() const { return m_impl->headBytes; }
 bool RequestParser::isDone() const { return m_impl->is_done(); }
 std::optional<int> RequestParser::errorStatus() const { return m_impl->error; }
 bool RequestParser::keepsAlive() const { return m_impl->keep_alive(); }
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -26,14 +26,16 @@
     std::string target; // path and query as sent, still escaped
     std::string path; // the target's part before "?"
     HeaderMap headers;
-    std::map<std::string, std::string> query; // unescaped
     std::string body;
     bool tooLarge = false; // the body exceeds the server's limit; it is not read
     Millis receivedAt {}; // monotonic clock: when the head was complete
     std::shared_ptr<BodyPipe> rest; // the part of a large body that follows `body`; null if `body` is complete
-    std::shared_ptr<void> bodyCharge; // returns the body's bytes to the host's memory budget when destroyed
+    std::shared_ptr<void> bodyCharge; // returns the request's bytes to the host's memory budget when destroyed
 };
 
+// The parameters of a target's query, unescaped.
+std::map<std::string, std::string> queryOf(const std::string& target);
+
 struct HttpResponse {
     int status = 200;
     HeaderList headers; // "Connection: close" closes the connection after the response
@@ -59,6 +61,8 @@
     // Whether the caller may send another request on the connection.
     bool keepsAlive() const;
     bool expectsContinue() const;
+    // The memory that the head takes as far as it has been parsed, with what its fields cost beside their text.
+    std::size_t headBytes() const;
     // The declared size of the body; nothing if it is sent in chunks.
     std::optional<std::uint64_t> contentLength() const;
 
--- a/src/io/http_pipeline.cpp
+++ b/src/io/http_pipeline.cpp
@@ -6,7 +6,13 @@
 
 namespace {
 
+constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
+// Empty lines before a request. More are no request.
+constexpr std::size_t kMaxBlankBytes = 1024;
+// What the pipeline keeps of a request that waits for its response or its turn.
+constexpr std::size_t kSlotBytes = 512;
+constexpr std::size_t kInputSlackBytes = 1024;
 
 } // namespace
 
@@ -30,6 +36,12 @@
     m_now = now;
     if (m_inputEnded)
         return;
+    if (m_input.empty() && !m_parsing) {
+        const std::size_t used = parseAll(bytes);
+        m_input = bytes.substr(used);
+        trimInput();
+        return;
+    }
     m_input.append(bytes);
     parse();
 }
@@ -39,10 +51,17 @@
     return m_inputEnded || (!isBodyBlocked() && m_input.size() < m_limits.headerBytes);
 }
 
+std::size_t HttpPipeline::waitingMemory() const
+{
+    const auto heapBytes = [](const std::string& it) { return it.empty() ? 0 : it.capacity(); };
+    return heapBytes(m_input) + heapBytes(m_output) + m_waitingBytes + m_slots.size() * kSlotBytes
+        + (m_pipe ? m_pipe->buffered() : 0);
+}
+
 bool HttpPipeline::mayStartNext() const
 {
     return !m_inputEnded && m_slots.size() < kMaxPipelined && m_waitingBytes < kMaxWaitingResponseBytes
-        && (m_slots.empty() || m_slots.back().safe);
+        && m_output.size() < m_limits.outputBytes && (m_slots.empty() || m_slots.back().safe);
 }
 
 // Whether the request that is arriving, the last slot, may be handled beside those before it.
@@ -60,14 +79,28 @@
 {
     if (m_parsing)
         return;
+    m_input.erase(0, parseAll(m_input));
+    trimInput();
+}
+
+// Parses as much of the input as is possible now; returns how many bytes that was.
+std::size_t HttpPipeline::parseAll(std::string_view input)
+{
     m_parsing = true;
     std::size_t used = 0, consumed = 0;
-    while (parseStep(std::string_view(m_input).substr(used), consumed))
+    while (parseStep(input.substr(used), consumed))
         used += consumed;
-    m_input.erase(0, used + consumed);
-    if (m_inputEnded || m_input.empty())
-        m_input = {};
     m_parsing = false;
+    return used + consumed;
+}
+
+// Returns memory that the input does not need.
+void HttpPipeline::trimInput()
+{
+    if (m_inputEnded)
+        m_input = {};
+    if (m_input.capacity() > 2 * m_input.size() + kInputSlackBytes)
+        m_input.shrink_to_fit();
 }
 
 // One step of parsing: the start of a request, a piece of it, or passing it on. Returns false when no further step is
@@ -80,8 +113,14 @@
     if (!m_parser) {
         // Some clients send an empty line after a body.
         consumed = std::min(input.find_first_not_of("\r\n"), input.size());
+        m_blankBytes += consumed;
+        if (m_blankBytes > kMaxBlankBytes) {
+            endInput();
+            return false;
+        }
         if (consumed == input.size() || !mayStartNext())
             return false;
+        m_blankBytes = 0;
         m_receivingSince = m_now;
         m_charge = std::make_shared<BodyCharge>(m_budget);
         m_parser = std::make_unique<RequestParser>(
@@ -111,6 +150,8 @@
     if (input.empty())
         return false;
     consumed = m_parser->consume(input);
+    if (m_inputEnded) // its body was refused
+        return false;
     if (const auto status = m_parser->errorStatus()) {
         if (m_pipe)
             endInput();
@@ -118,11 +159,31 @@
             refuse({ *status, {}, "" });
         return false;
     }
+    if (!m_headSeen && !chargeHead()) {
+        refuseForMemory();
+        return false;
+    }
     if (m_parser->isHeadDone() && !m_headSeen)
         onHead();
+    // What is no end of a line, a chunk or a trailer by then never becomes one.
+    const bool isStuck = consumed == 0 && !m_inputEnded && !isBodyBlocked() && input.size() >= m_limits.headerBytes;
+    if (isStuck && m_pipe)
+        endInput();
+    else if (isStuck)
+        refuse({ kBadRequest, {}, "" });
     return consumed > 0;
 }
 
+// Takes the memory of the head as far as it has been parsed; false if there is too little.
+bool HttpPipeline::chargeHead()
+{
+    const std::size_t bytes = m_parser->headBytes() * (m_parser->isHeadDone() ? m_limits.headCopies : 1);
+    if (bytes > m_chargedHeadBytes && !m_charge->take(bytes - m_chargedHeadBytes))
+        return false;
+    m_chargedHeadBytes = bytes;
+    return true;
+}
+
 void HttpPipeline::onHead()
 {
     m_headSeen = true;
@@ -166,11 +227,10 @@
     }
     if (m_pipe)
         return m_pipe->write(data);
-    if (!m_charge->take(data.size())) {
-        m_request.body = {};
-        return refuse(m_handlers.overloadResponse ? m_handlers.overloadResponse() : HttpResponse { 503, {}, "" });
-    }
+    const std::size_t held = m_request.body.empty() ? 0 : m_request.body.capacity();
     m_request.body.append(data);
+    if (m_request.body.capacity() > held && !m_charge->take(m_request.body.capacity() - held))
+        refuseForMemory();
 }
 
 HttpRequest HttpPipeline::takeRequest()
@@ -188,6 +248,12 @@
     m_handlers.onRequest(sequence, takeRequest());
 }
 
+// Refuses the request that is arriving, because the budget has too little memory left.
+void HttpPipeline::refuseForMemory()
+{
+    refuse(m_handlers.overloadResponse ? m_handlers.overloadResponse() : HttpResponse { 503, {}, "" });
+}
+
 // Refuses the request that is arriving. The rest of it is not read, so the connection closes.
 void HttpPipeline::refuse(HttpResponse response)
 {
@@ -195,6 +261,8 @@
         m_slots.emplace_back();
     m_slots.back().response = std::move(response);
     m_slots.back().complete = true;
+    m_request = {};
+    m_charge = nullptr;
     endInput();
     advance();
 }
@@ -210,7 +278,11 @@
 void HttpPipeline::end()
 {
     m_inputEnded = true;
-    m_input = {};
+    if (!m_parsing) {
+        m_input = {};
+        m_request = {};
+        m_charge = nullptr;
+    }
     releasePipe();
 }
 
@@ -242,8 +314,10 @@
     m_pipe.reset();
     m_charge.reset();
     m_request = {};
+    m_chargedHeadBytes = 0;
     m_bodyBytes = 0;
     m_headSeen = false;
+    m_hasReceivedRequest = true;
 }
 
 // --- Responses ---
@@ -321,7 +395,9 @@
     HttpResponse& response = *slot.response;
     if (!std::exchange(slot.headSent, true)) {
         const auto bytes = slot.streaming ? std::nullopt : std::optional(response.body.size());
-        m_output += encodeHead(response, bytes, slot.closes);
+        const std::string head = encodeHead(response, bytes, slot.closes);
+        m_output.reserve(m_output.size() + head.size() + (slot.headOnly ? 0 : response.body.size()));
+        m_output += head;
         m_waitingBytes -= response.body.size();
         if (!slot.headOnly)
             m_output += response.body;
--- a/src/io/http_pipeline.h
+++ b/src/io/http_pipeline.h
@@ -17,9 +17,12 @@
     std::size_t headerBytes = 64u << 10;
     std::size_t bodyBytes = 1u << 20; // of one request
     Millis headerTimeout {}; // for a head, and between two pieces of a body; zero: none
+    Millis bodyTimeout {}; // for a whole body that is received before its request is passed on; zero: none
     Millis idleTimeout {}; // between requests; zero: none
     // A body of more than heldBodyBytes flows: the request is passed on with its first part, and `rest` has the others.
     bool bodiesFlow = false;
+    std::size_t headCopies = 1; // of a head, in the memory of the process, while its request is handled
+    std::size_t outputBytes = 64u << 10; // to send; no further request is begun while there are as many or more
 };
 
 // Bodies up to this size are complete before their request is passed on, so that a caller who stalls takes no room at
@@ -41,7 +44,7 @@
             checkHead;
         // Takes each request exactly once. May respond at once.
         std::function<void(Sequence, HttpRequest)> onRequest;
-        // The response to a request whose body does not fit into the memory budget.
+        // The response to a request that does not fit into the memory budget.
         std::function<HttpResponse()> overloadResponse;
     };
 
@@ -58,11 +61,13 @@
     void end();
     // The request that is arriving takes too long: refuses it, or breaks off its body.
     void timeOut();
-    // Continues with bytes that have arrived and were held back. Called when a body's pipe has room again.
+    // Continues with bytes that have arrived and were held back. Called when a body's pipe, or the output, has room
+    // again.
     void resume() { parse(); }
 
-    // Bytes to send next. The caller erases what it has sent.
+    // Bytes to send next. The caller erases what it has sent, and calls resume() once all is sent.
     std::string& output() { return m_output; }
+    bool hasInput() const { return !m_input.empty() && !m_inputEnded; }
     bool wantsInput() const;
     // Nothing more will be read or answered: the connection is to be closed once the output is sent.
     bool isClosing() const { return m_closing; }
@@ -71,6 +76,16 @@
     bool isHeadPending() const { return m_parser && !m_inputEnded && !m_parser->isHeadDone(); }
     // When the request that is arriving began.
     Millis receivingSince() const { return m_receivingSince; }
+    // Whether a body is arriving whose request is not passed on before its end.
+    bool isHoldingBody() const { return m_headSeen && !m_pipe && isReceiving(); }
+    // Memory of the budget that the arriving request has taken and that end() returns.
+    std::size_t arrivingBytes() const { return m_charge && !m_pipe ? m_charge->bytes() : 0; }
+    // Memory outside of the budget: received bytes that wait, and responses that are known.
+    std::size_t waitingMemory() const;
+    // Whether it is within one of its own calls, so that it must not be ended.
+    bool isParsing() const { return m_parsing; }
+    // Whether a whole request has been received.
+    bool hasReceivedRequest() const { return m_hasReceivedRequest; }
     // Requests whose response has not been moved to the output completely.
     std::size_t openRequests() const { return m_slots.size(); }
     // Bytes of responses that are known and not in the output yet.
@@ -94,12 +109,16 @@
     bool mayPassOn() const;
     bool isBodyBlocked() const;
     void parse();
+    std::size_t parseAll(std::string_view);
+    void trimInput();
     bool parseStep(std::string_view input, std::size_t& consumed);
+    bool chargeHead();
     void onHead();
     void onBody(std::string_view);
     HttpRequest takeRequest();
     void passOn();
     void refuse(HttpResponse);
+    void refuseForMemory();
     void endInput();
     void releasePipe();
     void finishReceiving();
@@ -118,6 +137,7 @@
     Sequence m_firstSequence = 0; // of m_slots.front()
     std::size_t m_waitingBytes = 0; // of responses and chunks in m_slots
     bool m_parsing = false;
+    bool m_hasReceivedRequest = false;
     bool m_inputEnded = false; // no further request is read
     bool m_closing = false;
 
@@ -126,7 +146,9 @@
     std::unique_ptr<RequestParser> m_parser;
     std::shared_ptr<BodyPipe> m_pipe; // of a body that flows, once its request is passed on
     std::shared_ptr<BodyCharge> m_charge;
+    std::size_t m_chargedHeadBytes = 0;
     std::size_t m_bodyBytes = 0;
+    std::size_t m_blankBytes = 0; // received since the last request, as empty lines
     bool m_headSeen = false;
 };
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -29,9 +29,17 @@
 constexpr std::size_t kMaxUnsentBytes = 256u << 10;
 // A caller that takes nothing of a response for this long has gone.
 constexpr Millis kWriteStallLimit { 15000 };
+// A connection whose responses are taken at once handles its input so many times before others have their turn.
+constexpr unsigned kMaxRoundsAtOnce = 4;
+// While there are too many connections, whether one has become idle is checked at this interval.
+constexpr Millis kAcceptRetryInterval { 20 };
+// When the budget is used up, this part of it is freed at once, so that connections are not compared for each request.
+constexpr std::size_t kReclaimDivisor = 8;
 
 } // namespace
 
+const std::array<const char*, kCallerCloses> kCallerCloseNames = { "unread", "memory", "full", "timeout" };
+
 struct HttpExchange {
     HttpConnection* connection = nullptr; // null once the exchange is over
     HttpPipeline::Sequence sequence = 0;
@@ -59,6 +67,15 @@
     bool isResponding() { return m_pipeline.openRequests() > 0 || !m_pipeline.output().empty(); }
     // Bytes of responses that the caller has not taken, as last counted.
     std::size_t unsentBytes() const { return m_unsentBytes; }
+    // What it holds outside of the budget.
+    CallerLoad waitingLoad() const { return { m_unsentBytes, m_waitingSince, false, false }; }
+    // What it holds of the budget for a request that is arriving. Nothing if it must not be closed now.
+    CallerLoad arrivingLoad() const;
+    CallerLoad idleLoad() const;
+    // No request of it is open and it is within none of its calls, so that closing it calls nobody else.
+    bool isAtRest() const { return m_exchanges.empty() && !m_handlingInput && !m_pipeline.isParsing(); }
+    // Whether it waits for a request whose first bytes have arrived and have not been read yet.
+    bool hasUnreadBytes() const;
 
 private:
     HttpPipeline::Handlers pipelineHandlers();
@@ -66,6 +83,8 @@
     void receive();
     void discardInput();
     void flush();
+    bool sendOutput();
+    bool resumeInput();
     void updateWatcher();
     void countUnsent();
     void onTimer();
@@ -85,8 +104,10 @@
     Millis m_activeAt; // last byte received or sent
     std::size_t m_sent = 0; // bytes of the pipeline's output that are sent
     std::size_t m_unsentBytes = 0;
+    Millis m_waitingSince {}; // when m_unsentBytes was zero last
     std::size_t m_lingerBytes = 0;
     bool m_handlingInput = false;
+    bool m_yields = false; // goes on when the other connections have had their turn
     bool m_lingering = false;
 };
 
@@ -100,6 +121,8 @@
 {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    if (server.m_sendBufferBytes > 0)
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &server.m_sendBufferBytes, sizeof server.m_sendBufferBytes);
     updateWatcher();
     updateTimer();
 }
@@ -235,13 +258,31 @@
 {
     if (m_fd < 0 || m_handlingInput)
         return;
+    m_yields = false;
+    for (unsigned n = 0; !m_yields; ++n) {
+        if (!sendOutput())
+            return close();
+        if (!resumeInput())
+            break;
+        m_yields = n >= kMaxRoundsAtOnce;
+    }
+    if (m_pipeline.output().empty() && m_pipeline.isClosing() && !std::exchange(m_lingering, true))
+        shutdown(m_fd, SHUT_WR);
+    updateWatcher();
+    updateTimer();
+    countUnsent();
+}
+
+// Sends as much as the socket takes; false if the connection is broken.
+bool HttpConnection::sendOutput()
+{
     std::string& output = m_pipeline.output();
     while (m_sent < output.size()) {
         const ssize_t n = ::send(m_fd, output.data() + m_sent, output.size() - m_sent, MSG_NOSIGNAL);
         if (n < 0 && errno == EINTR)
             continue;
         if (n < 0 && errno != EAGAIN)
-            return close();
+            return false;
         if (n < 0)
             break;
         m_sent += static_cast<std::size_t>(n);
@@ -250,20 +291,57 @@
     if (m_sent == output.size()) {
         output = {};
         m_sent = 0;
-        if (m_pipeline.isClosing() && !std::exchange(m_lingering, true))
-            shutdown(m_fd, SHUT_WR);
+    } else if (m_sent >= kReadChunkBytes && m_sent >= output.size() / 2) {
+        output = output.substr(std::exchange(m_sent, 0));
     }
-    updateWatcher();
-    updateTimer();
-    countUnsent();
+    return true;
+}
+
+// Handles input that was held back while too much was to be sent. Returns whether there is something to send again.
+bool HttpConnection::resumeInput()
+{
+    if (!m_pipeline.output().empty() || !m_pipeline.hasInput())
+        return false;
+    m_handlingInput = true;
+    try {
+        m_pipeline.resume();
+    } catch (...) {
+        m_handlingInput = false;
+        close();
+        throw;
+    }
+    m_handlingInput = false;
+    return !m_pipeline.output().empty();
+}
+
+CallerLoad HttpConnection::arrivingLoad() const
+{
+    return { isAtRest() ? m_pipeline.arrivingBytes() : 0, m_pipeline.receivingSince(), false, false };
+}
+
+bool HttpConnection::hasUnreadBytes() const
+{
+    pollfd state { m_fd, POLLIN, 0 };
+    return !m_pipeline.isReceiving() && !(m_events & EV_WRITE) && poll(&state, 1, 0) > 0 && (state.revents & POLLIN);
+}
+
+CallerLoad HttpConnection::idleLoad() const
+{
+    const bool isReceiving = m_pipeline.isReceiving(), isWriting = m_events & EV_WRITE;
+    const Millis since = isReceiving ? m_pipeline.receivingSince() : isWriting ? m_waitingSince : m_activeAt;
+    return { 0, since, m_pipeline.hasReceivedRequest(), !isAtRest() };
 }
 
 // Keeps the server's sum of unsent bytes, and lets it close connections once the sum is too large.
 void HttpConnection::countUnsent()
 {
-    const std::size_t unsent = m_pipeline.output().size() - m_sent + m_pipeline.waitingBytes();
+    const std::size_t unsent = m_pipeline.waitingMemory() - m_sent;
+    if (m_unsentBytes == 0)
+        m_waitingSince = monotonicNow();
     m_server.m_unsentBytes += unsent - m_unsentBytes;
     m_unsentBytes = unsent;
+    if (m_server.m_unsentBytes > m_server.m_maxUnsentBytes)
+        m_server.limitUnsent(this);
     if (m_server.m_unsentBytes > m_server.m_maxUnsentBytes)
         m_server.m_limitTimer.once(Millis(0));
 }
@@ -272,7 +350,7 @@
 {
     const bool mayRead = m_pipeline.wantsInput() && m_pipeline.output().size() - m_sent < kMaxUnsentBytes;
     const bool reads = m_lingering || mayRead;
-    const int events = (reads ? EV_READ : 0) | (m_pipeline.output().empty() ? 0 : EV_WRITE);
+    const int events = (reads ? EV_READ : 0) | (m_pipeline.output().empty() && !m_yields ? 0 : EV_WRITE);
     if (events == m_events)
         return;
     m_events = events;
@@ -297,8 +375,12 @@
         return monotonicNow() + kHeldBackCheckInterval;
     if (m_pipeline.isHeadPending())
         return after(m_pipeline.receivingSince(), limits.headerTimeout);
-    if (m_pipeline.isReceiving())
-        return after(m_activeAt, limits.headerTimeout);
+    if (m_pipeline.isReceiving()) {
+        const auto nextPiece = after(m_activeAt, limits.headerTimeout);
+        const auto whole
+            = m_pipeline.isHoldingBody() ? after(m_pipeline.receivingSince(), limits.bodyTimeout) : std::nullopt;
+        return nextPiece && whole ? std::min(nextPiece, whole) : nextPiece ? nextPiece : whole;
+    }
     if (m_pipeline.openRequests() > 0)
         return std::nullopt;
     return m_server.m_stopping ? std::optional(m_activeAt + kIdleTimeoutWhileStopping)
@@ -331,6 +413,8 @@
 void HttpConnection::onExpiry()
 {
     const bool receiving = m_pipeline.isReceiving() && !m_lingering && !(m_events & EV_WRITE);
+    if (!m_lingering && (receiving || m_events & EV_WRITE))
+        ++m_server.m_closeCounts[static_cast<std::size_t>(CallerClose::timeout)];
     if (!receiving)
         return close();
     m_pipeline.timeOut();
@@ -412,7 +496,8 @@
     , m_maxConnections(maxConnections)
     , m_acceptWatcher([this](int) { acceptAll(); })
     , m_deleteTimer([this] { m_closed.clear(); })
-    , m_limitTimer([this] { limitUnsent(); })
+    , m_acceptTimer([this] { acceptAll(); })
+    , m_limitTimer([this] { limitUnsent(nullptr); })
 {
     m_limits.bodyBytes = maxBodyBytes;
     m_acceptWatcher.watch(m_listenFd, EV_READ);
@@ -420,6 +505,8 @@
 
 HttpServer::~HttpServer()
 {
+    if (m_bodyBudget)
+        m_bodyBudget->onShortage(nullptr);
     if (m_listenFd >= 0)
         ::close(m_listenFd);
 }
@@ -428,18 +515,78 @@
 {
     m_bodyBudget = std::move(budget);
     m_overloadResponse = std::move(overload);
+    m_bodyBudget->onShortage([this](std::size_t bytes) { reclaim(bytes); });
 }
 
 void HttpServer::acceptAll()
 {
-    while (m_listenFd >= 0 && m_connections.size() < m_maxConnections) {
+    while (m_listenFd >= 0 && (m_connections.size() < m_maxConnections || makeRoom())) {
         const int fd = accept4(m_listenFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0)
+        if (fd < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM))
+            break;
+        if (fd < 0) {
+            if (std::exchange(m_acceptPaused, false))
+                m_acceptWatcher.watch(m_listenFd, EV_READ);
             return;
+        }
         m_connections.push_back(std::make_unique<HttpConnection>(*this, fd));
     }
-    if (m_listenFd >= 0 && !std::exchange(m_acceptPaused, true))
-        m_acceptWatcher.stop(); // until a connection is closed
+    if (m_listenFd < 0)
+        return;
+    m_acceptTimer.once(kAcceptRetryInterval); // until a connection is closed or one is idle
+    if (!std::exchange(m_acceptPaused, true))
+        m_acceptWatcher.stop();
+}
+
+// Closes a connection that does nothing if another caller waits; false if none waits or there is none to close.
+bool HttpServer::makeRoom()
+{
+    pollfd state { m_listenFd, POLLIN, 0 };
+    if (poll(&state, 1, 0) <= 0)
+        return false;
+    std::vector<HttpConnection*> all;
+    std::vector<CallerLoad> loads;
+    for (const auto& it : m_connections) {
+        all.push_back(it.get());
+        loads.push_back(it->idleLoad());
+    }
+    while (const auto idlest = idlestCaller(loads, m_quietTime, monotonicNow())) {
+        if (!all[*idlest]->hasUnreadBytes()) {
+            closeFor(*all[*idlest], CallerClose::full);
+            return true;
+        }
+        loads[*idlest].isRunning = true;
+    }
+    return false;
+}
+
+void HttpServer::closeFor(HttpConnection& connection, CallerClose reason)
+{
+    ++m_closeCounts[static_cast<std::size_t>(reason)];
+    connection.close();
+}
+
+// Closes connections whose arriving requests hold the most of the budget for the longest, until at least so many bytes
+// are free.
+void HttpServer::reclaim(std::size_t bytes)
+{
+    std::vector<HttpConnection*> all;
+    std::vector<CallerLoad> loads;
+    for (const auto& it : m_connections) {
+        all.push_back(it.get());
+        loads.push_back(it->arrivingLoad());
+    }
+    const std::size_t wanted = std::max(bytes, m_bodyBudget->maxBytes() / kReclaimDivisor);
+    while (m_bodyBudget->maxBytes() - m_bodyBudget->used() < wanted) {
+        const auto heaviest = heaviestCaller(loads, monotonicNow());
+        if (!heaviest)
+            return;
+        logEvent(EventKind::request, "caller_closed",
+            { { "reason", "memory" }, { "bytes", loads[*heaviest].bytes },
+                { "ms", (monotonicNow() - loads[*heaviest].since).count() } });
+        closeFor(*all[*heaviest], CallerClose::memory);
+        loads[*heaviest].bytes = 0;
+    }
 }
 
 void HttpServer::remove(HttpConnection& connection)
@@ -453,13 +600,22 @@
         m_acceptWatcher.watch(m_listenFd, EV_READ);
 }
 
-void HttpServer::limitUnsent()
+// Closes the connections that hold the most for the longest while all together hold too much. Within a call of the
+// connection `within`, only others that have no request open.
+void HttpServer::limitUnsent(const HttpConnection* within)
 {
     while (m_unsentBytes > m_maxUnsentBytes) {
-        const auto largest = std::max_element(m_connections.begin(), m_connections.end(),
-            [](const auto& a, const auto& b) { return a->unsentBytes() < b->unsentBytes(); });
-        logEvent(EventKind::request, "caller_too_slow", { { "unsent_bytes", (*largest)->unsentBytes() } });
-        (*largest)->close();
+        std::vector<HttpConnection*> all;
+        std::vector<CallerLoad> loads;
+        for (const auto& it : m_connections) {
+            all.push_back(it.get());
+            loads.push_back(within && (it.get() == within || !it->isAtRest()) ? CallerLoad {} : it->waitingLoad());
+        }
+        const auto heaviest = heaviestCaller(loads, monotonicNow());
+        if (!heaviest)
+            return;
+        logEvent(EventKind::request, "caller_too_slow", { { "unsent_bytes", loads[*heaviest].bytes } });
+        closeFor(*all[*heaviest], CallerClose::unread);
     }
 }
 
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -2,7 +2,9 @@
 
 #include "http_pipeline.h"
 #include "loop.h"
+#include "requests/crowding.h"
 
+#include <array>
 #include <functional>
 #include <list>
 #include <memory>
@@ -37,6 +39,16 @@
 
 constexpr unsigned kDefaultMaxConnections = 10000;
 
+// Why a server closed a connection that its caller kept open.
+enum class CallerClose {
+    unread, // its responses, and received bytes that wait, take too much memory
+    memory, // the request that it is sending takes too much memory
+    full, // all connections were in use, and it did nothing
+    timeout, // it made no progress
+};
+constexpr std::size_t kCallerCloses = 4;
+extern const std::array<const char*, kCallerCloses> kCallerCloseNames;
+
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, Responder)>;
@@ -56,20 +68,30 @@
     const HttpLimits& limits() const { return m_limits; }
     // See HttpPipeline::Handlers.
     void setHeadCheck(HeadCheck check) { m_headCheck = std::move(check); }
-    // Bounds the memory for bodies of new connections; `overload` answers the requests that do not fit.
+    // Bounds the memory for requests of new connections; `overload` answers the requests that do not fit. Before that,
+    // the connections end whose arriving requests have taken the most for the longest.
     void setBodyBudget(std::shared_ptr<MemoryBudget> budget, std::function<HttpResponse()> overload);
-    // Bounds the bytes of responses that callers have not taken, of all connections together. Beyond it the connection
-    // that has the most of them is closed.
+    // Bounds the memory of all connections together for responses that callers have not taken and for received bytes
+    // that wait. Beyond it the connections are closed that hold the most for the longest.
     void setMaxUnsentBytes(std::size_t bytes) { m_maxUnsentBytes = bytes; }
+    // Bounds what the system keeps of the responses on a new connection.
+    void setSendBuffer(int bytes) { m_sendBufferBytes = bytes; }
+    // While all connections are in use, one that has done nothing for so long is closed for a new one.
+    void setQuietTime(Millis time) { m_quietTime = time; }
     std::size_t unsentBytes() const { return m_unsentBytes; }
+    // Connections that the server has closed, by CallerClose.
+    const std::array<std::uint64_t, kCallerCloses>& closeCounts() const { return m_closeCounts; }
     std::size_t connectionCount() const { return m_connections.size(); }
     // Whether a request is not answered yet, or an answer not sent completely.
     bool isResponding() const;
 
 private:
     void acceptAll();
+    bool makeRoom();
     void remove(HttpConnection&);
-    void limitUnsent();
+    void limitUnsent(const HttpConnection* within);
+    void reclaim(std::size_t bytes);
+    void closeFor(HttpConnection&, CallerClose);
 
     int m_listenFd;
     std::uint16_t m_port = 0;
@@ -81,6 +103,9 @@
     std::function<HttpResponse()> m_overloadResponse;
     std::size_t m_maxUnsentBytes = SIZE_MAX;
     std::size_t m_unsentBytes = 0; // of all connections
+    Millis m_quietTime { 100 };
+    int m_sendBufferBytes = 0; // zero: the system's default
+    std::array<std::uint64_t, kCallerCloses> m_closeCounts {};
     bool m_stopping = false;
     bool m_acceptPaused = false; // there are too many connections
     std::list<std::unique_ptr<HttpConnection>> m_connections;
@@ -88,6 +113,7 @@
     std::list<std::unique_ptr<HttpConnection>> m_closed;
     SocketWatcher m_acceptWatcher;
     Timer m_deleteTimer;
+    Timer m_acceptTimer; // tries to accept again while there are too many connections
     Timer m_limitTimer; // calls limitUnsent(), because a connection must not be closed while it handles its input
 
     friend class HttpConnection;
--- a/standins/kv.cpp
+++ b/standins/kv.cpp
@@ -22,14 +22,16 @@
 
 std::uint64_t queryNumber(const HttpRequest& request, const char* name)
 {
-    const auto it = request.query.find(name);
-    return it == request.query.end() ? 0 : std::strtoull(it->second.c_str(), nullptr, 10);
+    const auto query = queryOf(request.target);
+    const auto it = query.find(name);
+    return it == query.end() ? 0 : std::strtoull(it->second.c_str(), nullptr, 10);
 }
 
 std::string queryText(const HttpRequest& request, const char* name)
 {
-    const auto it = request.query.find(name);
-    return it == request.query.end() ? std::string() : it->second;
+    const auto query = queryOf(request.target);
+    const auto it = query.find(name);
+    return it == query.end() ? std::string() : it->second;
 }
 
 bool beginsWith(const std::string& key, const std::string& prefix)
--- /dev/null
+++ b/tests/fuzz_test.cpp
@@ -0,0 +1,134 @@
+#include "io/http_pipeline.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <random>
+
+// Seeded bytes for the parser of requests and for status lines: well-formed requests that are cut, joined and changed.
+// FUZZ_SEED and FUZZ_ROUNDS change the seed and the number of connections.
+using namespace pistachiospur;
+
+namespace {
+
+std::uint64_t numberFrom(const char* name, std::uint64_t otherwise)
+{
+    const char* given = std::getenv(name);
+    return given ? std::strtoull(given, nullptr, 10) : otherwise;
+}
+
+const char* const kPieces[] = { "GET / HTTP/1.1\r\n", "POST /x?a=b&c HTTP/1.1\r\n", "HEAD /y HTTP/1.0\r\n",
+    "OPTIONS * HTTP/1.1\r\n", "GET /z HTTP/2\r\n", "Host: a\r\n", "Host: a\r\n\r\n", "Content-Length: 5\r\n\r\n12345",
+    "Content-Length: 5\r\n", "Content-Length: 99999999999999999999\r\n", "Content-Length: -1\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+    "5\r\n12345\r\n", "5;ext=1\r\n12345\r\n", "0\r\n\r\n", "0\r\nTrailer: x\r\n\r\n", "ffffffffffffffff\r\n", "zz\r\n",
+    "30\r\n", "Connection: close\r\n", "Connection: host, x\r\n", "Expect: 100-continue\r\n", "x:\r\n", " folded\r\n",
+    "\r\n", "\n", "\r", ":", "\t", "123456789012345678901234567890" };
+
+std::string randomBytes(std::mt19937_64& random)
+{
+    std::string bytes;
+    for (std::size_t n = random() % 24; n > 0; --n) {
+        std::string piece = kPieces[random() % std::size(kPieces)];
+        if (random() % 16 == 0)
+            piece.resize(random() % (piece.size() + 1));
+        if (random() % 16 == 0 && !piece.empty())
+            piece[random() % piece.size()] = static_cast<char>(random());
+        for (std::size_t times = random() % 32 == 0 ? 200 : 1; times > 0; --times)
+            bytes += piece;
+    }
+    return bytes;
+}
+
+// Feeds one connection as a server does, answering at random times.
+void feed(std::mt19937_64& random)
+{
+    HttpLimits limits;
+    limits.headerBytes = 512;
+    limits.bodyBytes = 40;
+    limits.bodiesFlow = random() % 2 == 0;
+    limits.outputBytes = random() % 2 == 0 ? 1 : 4096;
+    limits.headCopies = 3;
+    const auto budget = std::make_shared<MemoryBudget>(random() % 4 == 0 ? 2000 : 100000);
+    std::vector<std::pair<HttpPipeline::Sequence, HttpRequest>> open;
+    std::vector<HttpPipeline::Sequence> passedOn;
+    HttpPipeline* self = nullptr;
+    HttpPipeline pipeline(limits,
+        { [&](const HttpRequest&, std::optional<std::uint64_t>) {
+             return random() % 8 ? std::nullopt : std::optional(HttpResponse { 503, {}, "" });
+         },
+            [&](HttpPipeline::Sequence sequence, HttpRequest request) {
+                passedOn.push_back(sequence);
+                if (random() % 2)
+                    self->respond(sequence, { 200, {}, "now" });
+                else
+                    open.emplace_back(sequence, std::move(request));
+            },
+            [] {
+                return HttpResponse { 503, {}, "" };
+            } },
+        budget);
+    self = &pipeline;
+    const std::string bytes = randomBytes(random);
+    std::size_t sent = 0;
+    while (sent < bytes.size() && !pipeline.isClosing()) {
+        if (pipeline.wantsInput()) {
+            const std::size_t n = 1 + random() % 64;
+            pipeline.receive(std::string_view(bytes).substr(sent, n), Millis(1));
+            sent += n;
+        } else if (open.empty() && pipeline.output().empty()) {
+            break;
+        }
+        if (!open.empty() && random() % 4 == 0) {
+            const std::size_t n = random() % open.size();
+            pipeline.respond(open[n].first, { 200, {}, "later" });
+            open.erase(open.begin() + static_cast<std::ptrdiff_t>(n));
+        }
+        if (random() % 4 == 0) {
+            pipeline.output().clear();
+            pipeline.resume();
+        }
+        if (random() % 256 == 0)
+            pipeline.timeOut();
+    }
+    BOOST_TEST(std::is_sorted(passedOn.begin(), passedOn.end()));
+    BOOST_TEST((std::adjacent_find(passedOn.begin(), passedOn.end()) == passedOn.end()));
+    BOOST_TEST(pipeline.waitingMemory() < 400000u);
+    pipeline.end();
+    open.clear();
+    BOOST_TEST(budget->used() == 0u);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Fuzz)
+
+// No sequence of bytes breaks the parser, passes a request on twice or keeps memory of the budget.
+BOOST_AUTO_TEST_CASE(anyBytesOfACallerAreHandled)
+{
+    std::mt19937_64 random(numberFrom("FUZZ_SEED", 54));
+    for (std::uint64_t n = numberFrom("FUZZ_ROUNDS", 3000); n > 0; --n)
+        feed(random);
+}
+
+// Of all status lines, only those of three digits from 100 to 599 are one.
+BOOST_AUTO_TEST_CASE(anyStatusLineIsReadOrRefused)
+{
+    std::mt19937_64 random(numberFrom("FUZZ_SEED", 54));
+    for (int status = 0; status < 2000; ++status) {
+        char digits[8];
+        std::snprintf(digits, sizeof digits, "%03d", status);
+        const auto read = parseStatusLine(std::string("HTTP/1.1 ") + digits + " x\r\n");
+        BOOST_TEST(read.value_or(0) == (status >= 100 && status <= 599 ? status : 0));
+    }
+    for (int n = 0; n < 20000; ++n) {
+        std::string line = "HTTP/1.1 200 OK";
+        line[random() % line.size()] = static_cast<char>(random());
+        line.resize(random() % (line.size() + 1));
+        const auto read = parseStatusLine(line);
+        BOOST_TEST((!read || (*read >= 100 && *read <= 599)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -186,6 +186,9 @@
     caller.pipeline->resume();
     BOOST_TEST(caller.passedOn.size() == kMaxPipelined);
     caller.answer(0, "zero");
+    BOOST_TEST(caller.passedOn.size() == kMaxPipelined); // until the answers are taken
+    caller.pipeline->output().clear();
+    caller.pipeline->resume();
     BOOST_TEST(caller.passedOn.size() > kMaxPipelined);
 }
 
@@ -406,10 +409,14 @@
 
 BOOST_AUTO_TEST_CASE(bodiesTakeNoMoreThanTheirMemoryAndGiveItBack)
 {
-    Connection first({}, 1000);
-    first.receive(post("/", std::string(900, 'x'), false));
+    const std::string whole = post("/", std::string(900, 'x'), false);
+    Connection head; // heads are counted too
+    head.receive(whole.substr(0, whole.size() - 900));
+    const std::size_t headBytes = head.budget->used();
+    Connection first({}, 1000 + headBytes);
+    first.receive(whole);
     BOOST_TEST(first.passedOn.size() == 1u);
-    BOOST_TEST(first.budget->used() == 900u);
+    BOOST_TEST(first.budget->used() == 900u + headBytes);
     first.answer(0, "");
     first.receive(post("/", std::string(200, 'x'), false)); // the first one's body is still in use
     BOOST_TEST(first.passedOn.size() == 1u);
@@ -420,4 +427,86 @@
     BOOST_TEST(first.budget->used() == 0u);
 }
 
+// Guards against the use of a request that is gone: its body was refused, and the bytes behind are no chunk.
+BOOST_AUTO_TEST_CASE(brokenChunkBehindABodyOverTheLimitIsNotParsed)
+{
+    HttpLimits limits;
+    limits.bodyBytes = 10;
+    Connection connection(limits);
+    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    connection.receive(head);
+    connection.receive("14\r\n12345678901234567890\r\nzz\r\n\r\n");
+    BOOST_REQUIRE(connection.passedOn.size() == 1u);
+    BOOST_TEST(connection.passedOn[0].second.tooLarge);
+    connection.answer(0, "");
+    BOOST_TEST(connection.output().find("HTTP/1.1 200") == 0u);
+    BOOST_TEST(connection.pipeline->isClosing());
+}
+
+BOOST_AUTO_TEST_CASE(chunkExtensionAndTrailerWithoutEndAreRefused)
+{
+    for (const char* start : { "5;", "5\r\n12345\r\n0\r\nx: " }) {
+        Connection connection;
+        connection.receive("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection.receive(start);
+        for (int n = 0; n < 200 && !connection.pipeline->isClosing(); ++n)
+            connection.receive(std::string(1000, 'e'));
+        BOOST_TEST(connection.pipeline->isClosing());
+        BOOST_TEST(connection.output().find("HTTP/1.1 400") == 0u);
+        BOOST_TEST(connection.passedOn.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(emptyLinesWithoutEndAreNoRequest)
+{
+    Connection connection;
+    connection.receive("\r\n" + get("/x"));
+    BOOST_TEST(connection.passedOn.size() == 1u);
+    connection.answer(0, "");
+    for (int n = 0; n < 100 && !connection.pipeline->isClosing(); ++n)
+        connection.receive("\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n");
+    BOOST_TEST(connection.pipeline->isClosing());
+}
+
+// What a head costs in memory is taken from the budget, and returned with its request or its connection.
+BOOST_AUTO_TEST_CASE(headsOfManyFieldsTakeFromTheBudget)
+{
+    std::string fields;
+    for (int n = 0; n < 2000; ++n)
+        fields += "x" + std::to_string(n) + ":\r\n";
+    Connection connection({}, 2u << 20);
+    connection.receive("GET /x HTTP/1.1\r\nHost: a\r\n" + fields);
+    BOOST_TEST(connection.budget->used() > 2000 * 100u);
+    BOOST_TEST(connection.pipeline->arrivingBytes() == connection.budget->used());
+    connection.pipeline->end();
+    BOOST_TEST(connection.budget->used() == 0u);
+
+    Connection small({}, 100000);
+    small.receive("GET /x HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n");
+    BOOST_TEST(small.passedOn.empty());
+    BOOST_TEST(small.output().find("HTTP/1.1 503") == 0u);
+    BOOST_TEST(small.budget->used() == 0u);
+}
+
+// While responses are not taken, requests sent ahead are not read; they are once the responses are.
+BOOST_AUTO_TEST_CASE(requestsSentAheadWaitUntilResponsesAreTaken)
+{
+    Connection connection;
+    std::string ahead;
+    for (int n = 0; n < 40; ++n)
+        ahead += get("/" + std::to_string(n));
+    connection.receive(ahead);
+    std::size_t answered = 0, most = 0;
+    while (answered < 40 && answered < connection.passedOn.size()) {
+        const std::size_t n = connection.passedOn.size();
+        for (; answered < n; ++answered)
+            connection.answer(answered, std::string(20000, 'a'));
+        most = std::max(most, connection.pipeline->output().size());
+        connection.pipeline->output().clear();
+        connection.pipeline->resume();
+    }
+    BOOST_TEST(answered == 40u);
+    BOOST_TEST(most < 32 * 21000u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
