Queues: requests that can be in time go first, places for callers that come back

Change: within a rank, requests that can still be answered in time start before those that are late anyhow; a late one is admitted by the share of starts that such ones got in the last second, 1 in 20 at least, and dropped when that no longer suffices. Unknown run times are assumed from the target. A refused caller is told when a start will reach it; if that is within a third of its time, the start is kept, found again by fingerprint and the caller's own deadline. Relay carries three members more at its end. Metrics of places and of the time in queues. The form without targets (src/daemon) decides as before.

Seven guards taken out one at a time: a test failed each time.

What remains: the retry budget by a host's traffic; a returning caller of a pooled service reaches its place only if its request goes to the same group; equal requests within 0.1 s are not told apart.

--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -153,7 +153,20 @@
 {
     if (!pool.policy.startsPerSecond)
         return kRefusalRetryAfter;
-    return std::max(kRefusalRetryAfter, pistachiospur::expectedWait(pool.queue, pool.policy, order));
+    return std::max(kRefusalRetryAfter, pistachiospur::expectedWait(pool.queue, pool.policy, order, monotonicNow()));
+}
+
+// The same for one whose request has waited in vain; keeps a place for it if there is one.
+Millis Dispatcher::returnTime(Pool& pool, const Job& job, const WaitingRequest& dropped, Millis now)
+{
+    return std::max(
+        retryAfter(pool, dropped.order), givePlace(pool.queue, pool.places, pool.policy, dropped, traceOf(job), now));
+}
+
+CallerTrace Dispatcher::traceOf(const Job& job)
+{
+    const Millis known = job.origin.callerDeadline;
+    return { known > Millis(0) ? job.request.fingerprint : 0, job.request.rank, known, job.origin.mayComeBack };
 }
 
 void Dispatcher::refreshPolicy(Pool& pool)
@@ -214,11 +227,16 @@
         return 0;
     }
     const JobId id = m_nextJob++;
-    const WaitingRequest waiting { id, added.request.order, added.request.deadline };
+    const Millis now = monotonicNow();
+    added.queuedAt = now;
+    WaitingRequest waiting { id, added.request.order, added.request.deadline };
+    if (const Millis latency = added.request.targetLatency; latency > Millis(0))
+        waiting.target = LatencyTarget { latency, added.origin.sentAt + latency };
+    const CallerTrace caller = traceOf(added);
     m_poolNames[id] = nameOf(pool);
     pool.jobs.emplace(id, std::move(added));
-    if (const auto reason = enqueue(pool.queue, pool.policy, waiting, monotonicNow())) {
-        finish(pool, id, notRun(*reason, retryAfter(pool, waiting.order)));
+    if (const auto away = enqueueOrGivePlace(pool.queue, pool.places, pool.policy, waiting, caller, now)) {
+        finish(pool, id, notRun(away->reason, std::max(away->retryAfter, retryAfter(pool, waiting.order))));
         return 0;
     }
     startWaiting(pool);
@@ -309,6 +327,9 @@
     Job& job = pool.jobs.at(id);
     job.running = true;
     job.startedAt = monotonicNow();
+    QueueTimes& times = pool.times[job.request.rank];
+    times.served += job.startedAt - job.queuedAt;
+    ++times.servedCount;
     job.instance = entry.instance.id;
     ++pool.members[job.instance].running;
     if (const auto pace = m_paces.find(job.instance); pace != m_paces.end())
@@ -392,6 +413,10 @@
         const bool answered = std::holds_alternative<Answer>(reply);
         finishRun(
             pool.queue, job.request.order, answered ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
+    } else {
+        QueueTimes& times = pool.times[job.request.rank];
+        times.refused += monotonicNow() - job.queuedAt;
+        ++times.refusedCount;
     }
     job.callback(std::move(reply));
 }
@@ -440,8 +465,10 @@
     for (auto& [name, pool] : m_pools) {
         if (waitingCount(pool.queue) == 0)
             continue;
-        for (const auto& dropped : dropLate(pool.queue, pool.policy, now))
-            finish(pool, dropped.id, notRun(RefusalReason::queueFull, retryAfter(pool, dropped.order)));
+        for (const auto& dropped : dropLate(pool.queue, pool.policy, now)) {
+            const Millis returnsIn = returnTime(pool, pool.jobs.at(dropped.id), dropped, now);
+            finish(pool, dropped.id, notRun(RefusalReason::queueFull, returnsIn));
+        }
         refusePaused(pool);
         startWaiting(pool);
     }
@@ -457,14 +484,14 @@
         QueuePolicy policy = pool.policy;
         refreshPace(pool, policy, monotonicNow());
         if (policy.startsPerSecond)
-            return pistachiospur::expectedWait(pool.queue, policy, order);
+            return pistachiospur::expectedWait(pool.queue, policy, order, monotonicNow());
     }
     if (pool.queue.running < pool.policy.maxConcurrent)
         return Millis(0);
     const auto lane = pool.queue.lanes.find(order);
     const double runMs = lane == pool.queue.lanes.end() ? 0 : lane->second.meanServiceMs;
     // With every slot taken, even the first in the queue waits for one to become free.
-    return pistachiospur::expectedWait(pool.queue, pool.policy, order)
+    return pistachiospur::expectedWait(pool.queue, pool.policy, order, monotonicNow())
         + Millis(static_cast<std::int64_t>(runMs / pool.policy.maxConcurrent));
 }
 
@@ -567,6 +594,40 @@
         m_context.metrics.set(
             "pistachiospur_upstream_running", { { "upstream", name } }, static_cast<double>(pool.queue.running));
     }
+    publishPlaces();
+}
+
+// Sums what the queues of a service have done for each rank.
+void Dispatcher::publishPlaces()
+{
+    std::map<std::pair<ServiceName, RankName>, std::pair<PlaceCounts, QueueTimes>> sums;
+    for (const auto& [name, pool] : m_pools) {
+        for (const auto& [rank, counts] : pool.places.counts)
+            sums[{ pool.service, rank }].first += counts;
+        for (const auto& [rank, times] : pool.times) {
+            QueueTimes& sum = sums[{ pool.service, rank }].second;
+            sum.served += times.served;
+            sum.refused += times.refused;
+            sum.servedCount += times.servedCount;
+            sum.refusedCount += times.refusedCount;
+        }
+    }
+    Metrics& metrics = m_context.metrics;
+    for (const auto& [name, sum] : sums) {
+        const auto& [places, times] = sum;
+        const auto labels = [&name = name](const char* outcome) {
+            return Metrics::Labels { { "service", name.first }, { "rank", name.second }, { "outcome", outcome } };
+        };
+        metrics.raise("pistachiospur_places_total", labels("given"), static_cast<double>(places.given));
+        metrics.raise("pistachiospur_places_total", labels("kept"), static_cast<double>(places.kept));
+        metrics.raise("pistachiospur_places_total", labels("missed"), static_cast<double>(places.missed));
+        metrics.raise("pistachiospur_places_total", labels("expired"), static_cast<double>(places.expired));
+        const auto seconds = [](Millis it) { return std::chrono::duration<double>(it).count(); };
+        metrics.raise("pistachiospur_queue_seconds_total", labels("served"), seconds(times.served));
+        metrics.raise("pistachiospur_queue_seconds_total", labels("refused"), seconds(times.refused));
+        metrics.raise("pistachiospur_queued_total", labels("served"), static_cast<double>(times.servedCount));
+        metrics.raise("pistachiospur_queued_total", labels("refused"), static_cast<double>(times.refusedCount));
+    }
 }
 
 } // namespace pistachiospur
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "requests/pace.h"
+#include "requests/places.h"
 #include "requests/queue.h"
 #include "requests/spread.h"
 
@@ -24,6 +25,9 @@
     DataCentreName dataCentre; // of the host that sends the request to the upstream
     bool hasLargeBody = false;
     HostName sender {}; // the host that sends the request to the upstream
+    Millis sentAt {}; // by the caller, as far as its first host can tell; monotonic clock
+    Millis callerDeadline {}; // when the caller gives up; zero if unknown
+    bool mayComeBack = false; // a refusal goes to the caller
 };
 
 using SendCallback = std::function<void(Reply, const RateNotice&)>;
@@ -76,10 +80,16 @@
         RequestOrigin origin;
         TurnCallback onTurn; // empty if this host sends the request
         InstanceId instance; // runs the request; set once `running`
+        Millis queuedAt {};
         Millis startedAt {};
         HttpClient::CallId call = 0;
         bool running = false;
     };
+    // What requests have waited in a queue.
+    struct QueueTimes {
+        Millis served {}, refused {};
+        std::uint64_t servedCount = 0, refusedCount = 0;
+    };
     // State of one upstream instance of a pool.
     struct Member {
         unsigned running = 0; // requests
@@ -92,6 +102,8 @@
         UpstreamName upstreamOrGroup;
         UpstreamQueue queue;
         QueuePolicy policy;
+        Places places;
+        std::map<RankName, QueueTimes> times;
         std::unordered_map<JobId, Job> jobs;
         std::map<InstanceId, Member> members;
     };
@@ -114,7 +126,10 @@
     void noteRate(const Job&, const RateNotice&, Millis now);
     void refreshPace(const Pool&, QueuePolicy&, Millis now) const;
     Millis retryAfter(const Pool&, RankOrder) const;
+    Millis returnTime(Pool&, const Job&, const WaitingRequest&, Millis now);
+    static CallerTrace traceOf(const Job&);
     void finish(Pool&, JobId, Reply);
+    void publishPlaces();
     static std::string nameOf(const Pool&);
 
     GatewayContext& m_context;
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -126,8 +126,8 @@
     request.idempotent = route->idempotent;
     request.targetLatency = route->targetLatency;
     request.slot = caller.slot.value_or(SlotId {});
-    request.deadline
-        = http.receivedAt + std::min(caller.timeLeft.value_or(kDefaultDeadline) - kReturnMargin, route->timeout);
+    pending->callerDeadline = http.receivedAt + caller.timeLeft.value_or(kDefaultDeadline);
+    request.deadline = std::min(pending->callerDeadline - kReturnMargin, http.receivedAt + route->timeout);
     request.method = std::move(http.method);
     request.target = std::move(http.target);
     request.headers = { http.headers.begin(), http.headers.end() };
@@ -284,6 +284,8 @@
         = coordinatorFor(m_context, service, upstream, preferredDataCentre, pending.failedCoordinators)
               .value_or(m_context.settings.host);
     pending.coordinator = coordinator;
+    const bool mayComeBack = pending.refusedAttempts > 0 || !mayTryAnotherGroup(pending);
+    const Millis sentAt = pending.receivedAt - kReturnMargin; // the way from the caller is as long as back
     if (!isSelf(m_context, coordinator)) {
         const bool hasLargeBody = pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes;
         // A body that still arrives can only be sent by this host.
@@ -291,9 +293,10 @@
         const bool reachesUpstream
             = !pending.mustRelay && reaches(m_context, m_context.settings.host, service, upstream);
         const bool turnOnly = (hasLargeBody || pending.group) && (reachesUpstream || !mayRelay);
+        const Millis now = monotonicNow();
         Relay relay { relayId(id, attemptNumber), upstream, pending.request, m_context.settings.dataCentre, turnOnly,
-            hasLargeBody };
-        relay.request.deadline -= monotonicNow();
+            hasLargeBody, now - sentAt, pending.callerDeadline - now, mayComeBack };
+        relay.request.deadline -= now;
         if (relay.turnOnly)
             relay.request.body = {};
         const Lane lane = hasLargeBody && !relay.turnOnly ? Lane::bulk : Lane::control;
@@ -311,7 +314,7 @@
         },
         { pending.rest, pending.bodyBytes },
         { m_context.settings.dataCentre, pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes,
-            m_context.settings.host });
+            m_context.settings.host, sentAt, pending.callerDeadline, mayComeBack });
     const auto found = m_pending.find(id);
     if (found != m_pending.end() && found->second->attempt == attemptNumber)
         found->second->job = job;
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -57,6 +57,7 @@
         unsigned maxAttempts = 1; // sends to upstreams that the route allows
         Responder responder;
         Millis receivedAt {};
+        Millis callerDeadline {}; // when the caller gives up; the request's deadline may be sooner
         State state = State::delayed;
         unsigned attempt = 0; // number of the current attempt; replies to earlier ones are ignored
         unsigned possibleRuns = 0; // attempts that may have run the request
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -55,6 +55,12 @@
             "upstreams that have accepted this host as their coordinator" },
         { "pistachiospur_upstream_waiting", "gauge", "requests that wait for an upstream" },
         { "pistachiospur_upstream_running", "gauge", "requests from this host that run on an upstream" },
+        { "pistachiospur_places_total", "counter",
+            "starts kept for callers that were told to come back, by service, rank and outcome: given, kept (found by "
+            "the caller on its return), missed (it came later), expired (it did not come)" },
+        { "pistachiospur_queue_seconds_total", "counter",
+            "time that requests spent in queues, by service, rank and whether they were served or refused" },
+        { "pistachiospur_queued_total", "counter", "the number of these requests" },
         { "pistachiospur_config_revision", "gauge", "revision of the configuration in force" },
         { "pistachiospur_store_revision", "gauge", "store revision up to which this host has received all changes" },
         { "pistachiospur_copy_age_seconds", "gauge",
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -90,7 +90,9 @@
 PISTACHIOSPUR_WIRE(ReleaseQuery, std::tie(it.upstream))
 PISTACHIOSPUR_WIRE(RenewerStatus, std::tie(it.applied, it.coordinating, it.settled, it.remaining))
 PISTACHIOSPUR_WIRE(ReleaseReport, std::tie(it.upstream, it.status))
-PISTACHIOSPUR_WIRE(Relay, std::tie(it.id, it.upstream, it.request, it.origin, it.turnOnly, it.hasLargeBody))
+PISTACHIOSPUR_WIRE(Relay,
+    std::tie(it.id, it.upstream, it.request, it.origin, it.turnOnly, it.hasLargeBody, it.waited, it.callerTimeLeft,
+        it.mayComeBack))
 PISTACHIOSPUR_WIRE(RelayReply, std::tie(it.id, it.reply, it.wait))
 PISTACHIOSPUR_WIRE(RelayCancel, std::tie(it.id))
 PISTACHIOSPUR_WIRE(Endpoint, std::tie(it.address, it.port))
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -109,6 +109,9 @@
     // cross from one data centre to another once at most.
     bool turnOnly = false;
     bool hasLargeBody = false;
+    Millis waited {}; // since the caller sent the request, as far as its first host can tell
+    Millis callerTimeLeft {}; // until the caller gives up, counted from receipt; zero if unknown
+    bool mayComeBack = false; // the sender passes a refusal on to the caller
 };
 
 struct RelayReply {
--- a/src/requests/queue.h
+++ b/src/requests/queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "overload.h"
 #include "pistachiospur/request.h"
 
 #include <cstdint>
@@ -45,10 +46,16 @@
     std::uint64_t id = 0;
     RankOrder order = 0;
     Millis deadline {};
+    std::optional<LatencyTarget> target {}; // nothing: a late answer is worth as much as any
+    std::optional<Millis> placeAt {}; // a start was kept for the request at this time; it goes before those in time
+    // Set by enqueue().
+    Millis queuedAt {};
+    std::optional<Millis> startBy {}; // a request that waits longer is late anyhow
 
     friend bool operator==(const WaitingRequest& a, const WaitingRequest& b)
     {
-        return std::tie(a.id, a.order, a.deadline) == std::tie(b.id, b.order, b.deadline);
+        return std::tie(a.id, a.order, a.deadline, a.target, a.placeAt, a.queuedAt, a.startBy)
+            == std::tie(b.id, b.order, b.deadline, b.target, b.placeAt, b.queuedAt, b.startBy);
     }
 };
 
@@ -57,6 +64,8 @@
     double credit = 0; // starts earned by the rank's share and not used yet
     unsigned running = 0;
     double meanServiceMs = 0; // EWMA of the time of runs; 0 while unknown
+    double assumedServiceMs = 0; // stands for it while it is unknown
+    LateRoom lateRoom;
 };
 
 struct UpstreamQueue {
@@ -65,14 +74,17 @@
     std::optional<Millis> lastUrgentArrivalAt; // last arrival of a request of the most urgent rank
 };
 
-// Adds a request, or returns the reason for refusing it: its rank's queue is full, or it would miss its deadline.
+// Adds a request, or returns the reason for refusing it: its rank's queue is full, or it would miss its deadline. One
+// that would be late behind those in time is expected to get only the starts that such requests have got lately.
 std::optional<RefusalReason> enqueue(UpstreamQueue&, const QueuePolicy&, const WaitingRequest&, Millis now);
 using IsStartable = std::function<bool(const WaitingRequest&)>;
-// Removes and returns the request that starts next, if there is one that may take a free execution slot. finishRun()
+// Removes and returns the request that starts next, if there is one that may take a free execution slot. Within a rank,
+// requests that can still be answered in time start before those that are late anyhow. finishRun()
 // must be called when the request ends. Requests for which `isStartable` is false are passed over.
 std::optional<WaitingRequest> startNext(
     UpstreamQueue&, const QueuePolicy&, Millis now, const IsStartable& isStartable = {});
-// Removes and returns the requests that can no longer be answered by their deadline.
+// Removes and returns the requests that can no longer be answered by their deadline, and late ones that are no longer
+// expected to be.
 std::vector<WaitingRequest> dropLate(UpstreamQueue&, const QueuePolicy&, Millis now);
 // Removes one waiting request. Returns false if it is not in the queue.
 bool removeWaiting(UpstreamQueue&, std::uint64_t id);
@@ -82,9 +94,12 @@
 // Removes and returns all waiting requests.
 std::vector<WaitingRequest> drainWaiting(UpstreamQueue&);
 std::size_t waitingCount(const UpstreamQueue&);
-// Expected wait of a new request of a rank: the shorter of the wait until all waiting requests of its rank and of more
-// urgent ranks have started and the wait if its rank gets only its guaranteed share.
-Millis expectedWait(const UpstreamQueue&, const QueuePolicy&, RankOrder);
+// Expected wait of a new request of a rank that can be answered in time: the shorter of the wait until those of its
+// rank that start before it and all of more urgent ranks have started, and the wait if its rank gets only its
+// guaranteed share.
+Millis expectedWait(const UpstreamQueue&, const QueuePolicy&, RankOrder, Millis now);
+// The same of one that would be late, behind those that wait and `promised` others.
+Millis expectedLateWait(const UpstreamQueue&, const QueuePolicy&, RankOrder, std::size_t promised, Millis now);
 bool holdsInvariants(const UpstreamQueue&, const QueuePolicy&);
 
 } // namespace pistachiospur
