--- a/src/io/http_pipeline.cpp
+++ b/src/io/http_pipeline.cpp
@@ -103,6 +103,26 @@
         m_input.shrink_to_fit();
 }
 
+// Begins a request, if the input has one and it may be begun now.
+bool HttpPipeline::begin(std::string_view input, std::size_t& consumed)
+{
+    // Some clients send an empty line after a body.
+    consumed = std::min(input.find_first_not_of("\r\n"), input.size());
+    m_blankBytes += consumed;
+    if (m_blankBytes > kMaxBlankBytes) {
+        endInput();
+        return false;
+    }
+    if (consumed == input.size() || !mayStartNext())
+        return false;
+    m_blankBytes = 0;
+    m_receivingSince = m_now;
+    m_charge = std::make_shared<BodyCharge>(m_budget);
+    m_parser = std::make_unique<RequestParser>(
+        m_limits.headerBytes, m_request, [this](std::string_view data) { onBody(data); });
+    return true;
+}
+
 // One step of parsing: the start of a request, a piece of it, or passing it on. Returns false when no further step is
 // possible now.
 bool HttpPipeline::parseStep(std::string_view input, std::size_t& consumed)
@@ -110,23 +130,8 @@
     consumed = 0;
     if (m_inputEnded)
         return false;
-    if (!m_parser) {
-        // Some clients send an empty line after a body.
-        consumed = std::min(input.find_first_not_of("\r\n"), input.size());
-        m_blankBytes += consumed;
-        if (m_blankBytes > kMaxBlankBytes) {
-            endInput();
-            return false;
-        }
-        if (consumed == input.size() || !mayStartNext())
-            return false;
-        m_blankBytes = 0;
-        m_receivingSince = m_now;
-        m_charge = std::make_shared<BodyCharge>(m_budget);
-        m_parser = std::make_unique<RequestParser>(
-            m_limits.headerBytes, m_request, [this](std::string_view data) { onBody(data); });
-        return true;
-    }
+    if (!m_parser)
+        return begin(input, consumed);
     if (m_parser->isDone()) {
         if (!m_pipe) {
             if (!mayPassOn())
@@ -165,13 +170,20 @@
     }
     if (m_parser->isHeadDone() && !m_headSeen)
         onHead();
+    if (consumed == 0)
+        refuseIfStuck(input);
+    return consumed > 0;
+}
+
+// Refuses a request that cannot go on with the input and with no more of it either.
+void HttpPipeline::refuseIfStuck(std::string_view input)
+{
     // What is no end of a line, a chunk or a trailer by then never becomes one.
-    const bool isStuck = consumed == 0 && !m_inputEnded && !isBodyBlocked() && input.size() >= m_limits.headerBytes;
+    const bool isStuck = !m_inputEnded && !isBodyBlocked() && input.size() >= m_limits.headerBytes;
     if (isStuck && m_pipe)
         endInput();
     else if (isStuck)
         refuse({ kBadRequest, {}, "" });
-    return consumed > 0;
 }
 
 // Takes the memory of the head as far as it has been parsed; false if there is too little.
--- a/src/io/http_pipeline.h
+++ b/src/io/http_pipeline.h
@@ -112,6 +112,8 @@
     std::size_t parseAll(std::string_view);
     void trimInput();
     bool parseStep(std::string_view input, std::size_t& consumed);
+    bool begin(std::string_view input, std::size_t& consumed);
+    void refuseIfStuck(std::string_view input);
     bool chargeHead();
     void onHead();
     void onBody(std::string_view);
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -41,7 +41,35 @@
     return bytes;
 }
 
-// Feeds one connection as a server does, answering at random times.
+using OpenRequests = std::vector<std::pair<HttpPipeline::Sequence, HttpRequest>>;
+
+// Receives the bytes as a server does, and answers at random times.
+void receiveAll(HttpPipeline& pipeline, const std::string& bytes, OpenRequests& open, std::mt19937_64& random)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size() && !pipeline.isClosing()) {
+        if (pipeline.wantsInput()) {
+            const std::size_t n = 1 + random() % 64;
+            pipeline.receive(std::string_view(bytes).substr(sent, n), Millis(1));
+            sent += n;
+        } else if (open.empty() && pipeline.output().empty()) {
+            break;
+        }
+        if (!open.empty() && random() % 4 == 0) {
+            const std::size_t n = random() % open.size();
+            pipeline.respond(open[n].first, { 200, {}, "later" });
+            open.erase(open.begin() + static_cast<std::ptrdiff_t>(n));
+        }
+        if (random() % 4 == 0) {
+            pipeline.output().clear();
+            pipeline.resume();
+        }
+        if (random() % 256 == 0)
+            pipeline.timeOut();
+    }
+}
+
+// Feeds one connection.
 void feed(std::mt19937_64& random)
 {
     HttpLimits limits;
@@ -51,7 +79,7 @@
     limits.outputBytes = random() % 2 == 0 ? 1 : 4096;
     limits.headCopies = 3;
     const auto budget = std::make_shared<MemoryBudget>(random() % 4 == 0 ? 2000 : 100000);
-    std::vector<std::pair<HttpPipeline::Sequence, HttpRequest>> open;
+    OpenRequests open;
     std::vector<HttpPipeline::Sequence> passedOn;
     HttpPipeline* self = nullptr;
     HttpPipeline pipeline(limits,
@@ -70,28 +98,7 @@
             } },
         budget);
     self = &pipeline;
-    const std::string bytes = randomBytes(random);
-    std::size_t sent = 0;
-    while (sent < bytes.size() && !pipeline.isClosing()) {
-        if (pipeline.wantsInput()) {
-            const std::size_t n = 1 + random() % 64;
-            pipeline.receive(std::string_view(bytes).substr(sent, n), Millis(1));
-            sent += n;
-        } else if (open.empty() && pipeline.output().empty()) {
-            break;
-        }
-        if (!open.empty() && random() % 4 == 0) {
-            const std::size_t n = random() % open.size();
-            pipeline.respond(open[n].first, { 200, {}, "later" });
-            open.erase(open.begin() + static_cast<std::ptrdiff_t>(n));
-        }
-        if (random() % 4 == 0) {
-            pipeline.output().clear();
-            pipeline.resume();
-        }
-        if (random() % 256 == 0)
-            pipeline.timeOut();
-    }
+    receiveAll(pipeline, randomBytes(random), open, random);
     BOOST_TEST(std::is_sorted(passedOn.begin(), passedOn.end()));
     BOOST_TEST((std::adjacent_find(passedOn.begin(), passedOn.end()) == passedOn.end()));
     BOOST_TEST(pipeline.waitingMemory() < 400000u);
