--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -347,7 +347,10 @@
     addEvacuatedOwners(eligible, fixed, ranges, lastingLoads(m_plans.rates));
     BalancePolicy policy;
     policy.maxMoves = std::max(policy.maxMoves, static_cast<unsigned>(eligible.size() / kOwnersPerMove));
-    for (const auto& it : planNextMoves(m_plans, ranges, eligible, fixed, policy, {}, monotonicNow())) {
+    const auto moves = m_context.settings.limits.judgedMoves
+        ? planNextMoves(m_plans, ranges, eligible, fixed, policy, {}, monotonicNow())
+        : planMoves(ranges, eligible, recentLoads(m_plans.rates), fixed, policy);
+    for (const auto& it : moves) {
         const Range* current = findRange(m_table, it.first);
         if (current && awaitsProof(*current))
             continue;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -46,6 +46,9 @@
             "retries per window allowed for a service beyond retry_ratio, over all hosts, as set by the platform" },
         { "retry_window_ms", &GatewayLimits::retryWindowMs, 10000, 100, 600000, "ms",
             "window over which requests and retries are counted, as set by the platform" },
+        { "judged_moves", &GatewayLimits::judgedMoves, 0, 0, 1, "flag",
+            "1: a range moves for balance only if that serves more requests than the move costs, and a slot above what "
+            "any upstream runs is isolated once" },
         { "cold_slack", &GatewayLimits::coldSlack, 0, 0, 100000, "requests",
             "requests beyond cold_over times its service's rate that a cold upstream may get in any second from all "
             "hosts "
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -34,6 +34,7 @@
     std::int64_t quietMs = 0;
     std::int64_t doorConnections = 0;
     std::int64_t doorIdleMs = 0;
+    std::int64_t judgedMoves = 0;
     std::int64_t coldSlack = 0;
     std::int64_t evacuateMs = 0;
     double retryRatio = 0.2; // retries allowed for a service as a part of its requests; "retry_ratio" under "limits"
--- a/tests/completion_test.cpp
+++ b/tests/completion_test.cpp
@@ -54,6 +54,41 @@
     std::vector<std::size_t> given; // by upstream
 };
 
+void changeSpeeds(std::vector<Upstream>& upstreams, std::mt19937_64& random)
+{
+    std::uniform_real_distribution<double> draws(0, 1);
+    for (auto& it : upstreams) {
+        const double drawn = std::exp(1.8 * (draws(random) - 0.5) * 1.2);
+        it.workFactor = it.isShared ? drawn : 1;
+    }
+}
+
+// Runs an upstream's requests for a millisecond and takes note of those that have ended.
+void endRuns(Upstream& upstream, GroupTimes& times, Outcome& outcome, Millis now)
+{
+    const auto own = static_cast<unsigned>(upstream.running.size());
+    for (auto& job : upstream.running)
+        job.workLeftMs -= 1 / (upstream.slowness * upstream.workFactor);
+    const auto ended = std::stable_partition(
+        upstream.running.begin(), upstream.running.end(), [](const Job& job) { return job.workLeftMs > 0; });
+    const std::vector<Job> done(ended, upstream.running.end());
+    upstream.running.erase(ended, upstream.running.end());
+    for (const auto& job : done) {
+        const UpstreamLoad load { own, 0, kSlots, upstream.workFactor };
+        if (upstream.reports)
+            noteLoad(upstream.stats, upstream.states ? upstream.states(load) : load, own, now);
+        if (job.fails) {
+            ++outcome.failed;
+            noteFailed(upstream.stats);
+            continue;
+        }
+        noteServed(upstream.stats, times, 0, now - job.startedAt, job.workFactor, now);
+        outcome.inAim += now - job.arrivedAt <= kAim;
+        outcome.totalMs += static_cast<double>((now - job.arrivedAt).count());
+        ++outcome.served;
+    }
+}
+
 // Plays requests for one group with one queue in virtual time, in steps of a millisecond.
 Outcome play(std::vector<Upstream> upstreams, double utilization, const Choice& choose, unsigned seed)
 {
@@ -67,38 +102,14 @@
     double nextArrival = 0;
     for (Millis now(1); now < kLength; now += Millis(1)) {
         if (now.count() % kSpeedInterval.count() == 0) {
-            for (auto& it : upstreams) {
-                const double drawn = std::exp(1.8 * (draws(random) - 0.5) * 1.2);
-                it.workFactor = it.isShared ? drawn : 1;
-            }
+            changeSpeeds(upstreams, random);
         }
         for (; nextArrival < static_cast<double>(now.count()); nextArrival += spread(random) / perMs) {
             queue.push_back({ now, kMeanWorkMs * (0.4 + 0.6 * spread(random)), {}, 1, false });
             ++outcome.arrived;
         }
-        for (auto& it : upstreams) {
-            const auto own = static_cast<unsigned>(it.running.size());
-            for (auto& job : it.running)
-                job.workLeftMs -= 1 / (it.slowness * it.workFactor);
-            const auto ended = std::stable_partition(
-                it.running.begin(), it.running.end(), [](const Job& job) { return job.workLeftMs > 0; });
-            const std::vector<Job> done(ended, it.running.end());
-            it.running.erase(ended, it.running.end());
-            for (const auto& job : done) {
-                UpstreamLoad load { own, 0, kSlots, it.workFactor };
-                if (it.reports)
-                    noteLoad(it.stats, it.states ? it.states(load) : load, own, now);
-                if (job.fails) {
-                    ++outcome.failed;
-                    noteFailed(it.stats);
-                    continue;
-                }
-                noteServed(it.stats, times, 0, now - job.startedAt, job.workFactor, now);
-                outcome.inAim += now - job.arrivedAt <= kAim;
-                outcome.totalMs += static_cast<double>((now - job.arrivedAt).count());
-                ++outcome.served;
-            }
-        }
+        for (auto& it : upstreams)
+            endRuns(it, times, outcome, now);
         while (!queue.empty() && now - queue.front().arrivedAt > kDeadline)
             queue.pop_front();
         while (!queue.empty()) {
