--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -331,11 +331,11 @@
         const UpstreamInstance& instance = entry->instance;
         const Member& member = pool.members[instance.id];
         const bool isHeld = cold && coldWait(m_context, *entry, *cold, now) > Millis(0);
-        const bool isAvoided
-            = now < member.avoidedUntil || (!origin.sender.empty() && !reaches(m_context, origin.sender, instance));
-        candidates.push_back(
-            { &member.stats, member.running, instance.slots, !isHeld && wantsRequest(pool, instance, origin, now),
-                instance.dataCentre == origin.dataCentre, isAvoided });
+        const bool isFree = !isHeld && wantsRequest(pool, instance, origin, now);
+        const bool isAvoided = isFree
+            && (now < member.avoidedUntil || (!origin.sender.empty() && !reaches(m_context, origin.sender, instance)));
+        candidates.push_back({ &member.stats, member.running, instance.slots, isFree,
+            instance.dataCentre == origin.dataCentre, isAvoided });
     }
     return candidates;
 }
