Tests: lives of a host are tested at an upstream whose slots the host knows

Cause: three tests of HostLives put an entry with one slot and sent two requests without waiting until the host had read it. Change: the site's entry has that number of slots from its start; the checks are as before.

--- a/tests/lives_test.cpp
+++ b/tests/lives_test.cpp
@@ -54,14 +54,14 @@
 // A host that coordinates an upstream with `slots` slots, and two lives of a host of an earlier build. The second one
 // is linked before the end of the first one's link is noticed, as when the host under test stands still meanwhile.
 struct CoordinatorSite {
-    RawSite site { 1, answerSlowly };
+    RawSite site;
     std::unique_ptr<PeerLife> first;
     std::unique_ptr<PeerLife> second;
 
     explicit CoordinatorSite(unsigned slots)
+        : site(1, answerSlowly, 6000, slots)
     {
         BOOST_REQUIRE(site.waitUntilServed());
-        site.store.put("servers/k0", site.keyed.entry(slots));
         first = connect(1);
     }
 
--- a/tests/raw_site.cpp
+++ b/tests/raw_site.cpp
@@ -47,12 +47,12 @@
 
 } // namespace
 
-RawSite::RawSite(int hosts, const standin::RawUpstream::Handler& handler, std::int64_t graceMs)
+RawSite::RawSite(int hosts, const standin::RawUpstream::Handler& handler, std::int64_t graceMs, unsigned keyedSlots)
     : keyed("keyed", "k0", handler)
     , pooled("pool", "p0", handler)
 {
     store.put("op/config", configuration());
-    store.put("servers/k0", keyed.entry(kSlots));
+    store.put("servers/k0", keyed.entry(keyedSlots));
     store.put("servers/p0", pooled.entry(kSlots));
     for (int n = 0; n < hosts; ++n)
         addHost(graceMs);
--- a/tests/raw_site.h
+++ b/tests/raw_site.h
@@ -10,7 +10,7 @@
 
 class RawSite {
 public:
-    RawSite(int hosts, const standin::RawUpstream::Handler&, std::int64_t graceMs = 6000);
+    RawSite(int hosts, const standin::RawUpstream::Handler&, std::int64_t graceMs = 6000, unsigned keyedSlots = 500);
     ~RawSite();
     RawSite(const RawSite&) = delete;
     RawSite& operator=(const RawSite&) = delete;
