Health answers: one reader for the cold time; a service's slow start time is no longer read

Cause: each answer's notice read the cold time, which only the health question uses, and the service's slow start time was read and used for nothing. Change: readHealth() alone reads it; both members are gone, and with the second its fault for an odd value. The test of odd texts asks readHealth(), and has cases for another request, another upstream and an answer that names none.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -66,11 +66,10 @@
     bool isLeaving = false; // the upstream ends soon and must not get new requests
     Millis pause {}; // the upstream wants nothing from this host for so long
     std::optional<UpstreamLoad> load {};
-    std::optional<Millis> coldLeft {}; // how much longer the upstream is cold; zero: it says that it is warm
 
     friend bool operator==(const UpstreamNotice& a, const UpstreamNotice& b)
     {
-        return std::tie(a.isLeaving, a.pause, a.load, a.coldLeft) == std::tie(b.isLeaving, b.pause, b.load, b.coldLeft);
+        return std::tie(a.isLeaving, a.pause, a.load) == std::tie(b.isLeaving, b.pause, b.load);
     }
 };
 
@@ -100,7 +99,7 @@
     RateNotice (*readRate)(const HttpAnswer&);
     // Nothing if the answer is another upstream's or belongs to another request than the one with this id.
     UpstreamNotice (*readNotice)(const HttpAnswer&, const std::string& sentId, const UpstreamName& sentTo);
-    // Asks an upstream for its health. The answer is read by readNotice() and readHealth().
+    // Asks an upstream for its health. The answer is read by readHealth().
     HttpCall (*healthCall)(const UpstreamInstance&, const std::string& healthPath, const std::string& id);
     // How much longer the upstream is cold by an answer to that; zero: it is warm. Nothing if the answer is not proven
     // to be the upstream's, or cannot be read.
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -52,13 +52,12 @@
     unsigned maxConnections = 0; // accepted by one upstream, from all hosts together
     bool keyed = false; // the request's slot determines the only upstream that may run it
     Millis warmUp {}; // how long an upstream is slow for slots that it received without the previous owner's handover
-    Millis coldTime {}; // how long an upstream is cold after its start, or after it has turned cold again
     double coldPerSecond = 0; // requests a second that a cold upstream takes from all hosts together; 0: no bound
 
     friend bool operator==(const RoutedService& a, const RoutedService& b)
     {
-        return std::tie(a.name, a.healthPath, a.maxConnections, a.keyed, a.warmUp, a.coldTime, a.coldPerSecond)
-            == std::tie(b.name, b.healthPath, b.maxConnections, b.keyed, b.warmUp, b.coldTime, b.coldPerSecond);
+        return std::tie(a.name, a.healthPath, a.maxConnections, a.keyed, a.warmUp, a.coldPerSecond)
+            == std::tie(b.name, b.healthPath, b.maxConnections, b.keyed, b.warmUp, b.coldPerSecond);
     }
 };
 
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -36,19 +36,27 @@
     RC_ASSERT(!load || (load->slots > 0 && load->workFactor >= kMinWorkFactor && load->workFactor <= kMaxWorkFactor));
 }
 
-BOOST_AUTO_TEST_CASE(noticeHasLoadAndColdTimeOfItsOwnAnswerOnly)
+BOOST_AUTO_TEST_CASE(noticeHasLoadOfItsOwnAnswerOnly)
 {
-    const HttpAnswer own { 200, { { "request-id", "r" }, { "backend-load", "1,2,4" }, { "slow-start-ms", "900" } },
-        "" };
-    const auto notice = platform::readNotice(own, "r", "i-1");
-    BOOST_CHECK((notice.load == UpstreamLoad { 1, 2, 4, 1 }));
-    BOOST_CHECK(notice.coldLeft == Millis(900));
-    const auto other = platform::readNotice(own, "another", "i-1");
-    BOOST_CHECK(!other.load && !other.coldLeft);
-    for (const char* text : { "", "-1", "soon", "99999999999999999999", "1.5" }) {
-        const HttpAnswer odd { 200, { { "slow-start-ms", text } }, "" };
-        BOOST_TEST(!platform::readNotice(odd, "r", "i-1").coldLeft.has_value(), text);
-    }
+    const HttpAnswer own { 200, { { "request-id", "r" }, { "backend-load", "1,2,4" } }, "" };
+    BOOST_CHECK((platform::readNotice(own, "r", "i-1").load == UpstreamLoad { 1, 2, 4, 1 }));
+    BOOST_CHECK(!platform::readNotice(own, "another", "i-1").load);
+}
+
+BOOST_AUTO_TEST_CASE(healthHasColdTimeOfItsOwnAnswerOnly)
+{
+    const auto answerWith = [](HeaderMap headers) {
+        headers.insert({ { "request-id", "r" }, { "instance-id", "i-1" } });
+        return HttpAnswer { 200, std::move(headers), "" };
+    };
+    const HttpAnswer cold = answerWith({ { "slow-start-ms", "900" } });
+    BOOST_CHECK(platform::readHealth(cold, "r", "i-1") == Millis(900));
+    BOOST_CHECK(platform::readHealth(answerWith({}), "r", "i-1") == Millis(0));
+    BOOST_CHECK(!platform::readHealth(cold, "another", "i-1"));
+    BOOST_CHECK(!platform::readHealth(cold, "r", "i-2"));
+    BOOST_CHECK(!platform::readHealth({ 200, { { "slow-start-ms", "900" } }, "" }, "r", "i-1"));
+    for (const char* text : { "", "-1", "soon", "99999999999999999999", "1.5" })
+        BOOST_TEST(!platform::readHealth(answerWith({ { "slow-start-ms", text } }), "r", "i-1").has_value(), text);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
