Gateway, HTTP server: files of one job each

Change: the members of a pool, the dispatcher's metrics, planning, retries and the server's connections have files of their own; functions are moved, none is changed. directory.cpp stays whole: with its records in another file GCC 12 warns of an uninitialized string where it moves the result of a read.

--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -109,70 +109,6 @@
     return it->second;
 }
 
-// The instances of a pool that may get new work.
-std::vector<const InstanceEntry*> Dispatcher::availableMembers(const Pool& pool, Millis now) const
-{
-    const auto groups = m_context.groups.find(pool.service);
-    const auto* group = groups == m_context.groups.end() ? nullptr : findGroup(groups->second, pool.upstreamOrGroup);
-    const std::vector<UpstreamName> names = group ? *group : std::vector { pool.upstreamOrGroup };
-    std::vector<const InstanceEntry*> members;
-    for (const auto& name : names) {
-        const auto it = m_context.directory.instances().find(name);
-        if (it != m_context.directory.instances().end() && it->second.instance.service == pool.service
-            && mayTakeWork(m_context, it->second, now))
-            members.push_back(&it->second);
-    }
-    return members;
-}
-
-// Sets the number of requests that a pool runs concurrently to what its available instances can be expected to serve.
-void Dispatcher::refreshSlots(Pool& pool)
-{
-    const Millis now = monotonicNow();
-    const auto cold = coldBoundOf(m_context, pool.service);
-    const auto entries = availableMembers(pool, now);
-    auto candidates = candidatesOf(pool, entries, {}, now);
-    for (std::size_t n = 0; cold && n < entries.size(); ++n) {
-        const UpstreamInstance& instance = entries[n]->instance;
-        const double runMs = pool.members[instance.id].stats.runMs;
-        candidates[n].slots = usableSlots(m_context.coldness, instance.id, instance.slots, runMs, *cold, now);
-    }
-    pool.policy.maxConcurrent = usableSlots(candidates);
-    refreshPace(pool, pool.policy, now);
-}
-
-// Whether any upstream states a limit or is known to be cold.
-bool Dispatcher::mayBePaced(Millis now) const { return !m_paces.empty() || now < m_context.coldness.anyColdUntil; }
-
-// Sets what the stated limits and the bounds of cold upstreams allow a pool to start. There is no limit as long as one
-// member has none.
-void Dispatcher::refreshPace(const Pool& pool, QueuePolicy& policy, Millis now) const
-{
-    policy.startsPerSecond.reset();
-    policy.nextStartIn = Millis(0);
-    if (!mayBePaced(now))
-        return;
-    const auto cold = coldBoundOf(m_context, pool.service);
-    double perSecond = 0;
-    std::optional<Millis> next;
-    for (const auto* member : availableMembers(pool, now)) {
-        const InstanceId& id = member->instance.id;
-        const auto pace = m_paces.find(id);
-        const bool isHeld = cold && isCold(m_context.coldness, id, now);
-        if (pace == m_paces.end() && !isHeld)
-            return;
-        const double stated = pace == m_paces.end() ? cold->perSecond : *pace->second.perSecond;
-        perSecond += isHeld ? std::min(stated, cold->perSecond) : stated;
-        const Millis ready = std::max(pace == m_paces.end() ? Millis(0) : timeToStart(pace->second, 0, now),
-            isHeld ? timeToStart(m_context.coldness, id, *cold, now) : Millis(0));
-        next = std::min(next.value_or(ready), ready);
-    }
-    if (!next)
-        return;
-    policy.startsPerSecond = perSecond;
-    policy.nextStartIn = *next;
-}
-
 // When a caller whose request is refused may come back: once those that wait now have started.
 Millis Dispatcher::retryAfter(const Pool& pool, RankOrder order) const
 {
@@ -292,69 +228,12 @@
     return mayWait(queue, pool.slotArrivals, request.slot, request.targetLatency, now);
 }
 
-// The time until any available instance of a pool takes requests from the host that sends one; zero if one does now.
-Millis Dispatcher::pauseLeftFor(const Pool& pool, const RequestOrigin& origin, Millis now) const
-{
-    if (m_context.pauses.ends.empty())
-        return Millis(0);
-    std::optional<Millis> shortest;
-    for (const auto* member : availableMembers(pool, now)) {
-        const Millis left = pauseLeft(m_context.pauses, member->instance.id, origin.sender, now);
-        shortest = std::min(shortest.value_or(left), left);
-    }
-    return shortest.value_or(Millis(0));
-}
-
 Refusal Dispatcher::pausedRefusal(const Pool& pool, RankOrder order, Millis pause) const
 {
     return notRun(
         RefusalReason::upstreamPaused, std::max(pause, expectedWait(pool.service, pool.upstreamOrGroup, order)));
 }
 
-// Whether an instance has a free slot, and neither its stated limit nor a pause forbids a start.
-bool Dispatcher::wantsRequest(
-    Pool& pool, const UpstreamInstance& instance, const RequestOrigin& origin, Millis now) const
-{
-    const auto pace = m_paces.find(instance.id);
-    return pool.members[instance.id].running < instance.slots
-        && (pace == m_paces.end() || timeToStart(pace->second, 0, now) == Millis(0))
-        && pauseLeft(m_context.pauses, instance.id, origin.sender, now) == Millis(0);
-}
-
-// What is known of the available instances of a pool, as targets of a request.
-std::vector<UpstreamCandidate> Dispatcher::candidatesOf(
-    Pool& pool, const std::vector<const InstanceEntry*>& entries, const RequestOrigin& origin, Millis now)
-{
-    const auto cold = coldBoundOf(m_context, pool.service);
-    std::vector<UpstreamCandidate> candidates;
-    for (const auto* entry : entries) {
-        const UpstreamInstance& instance = entry->instance;
-        const Member& member = pool.members[instance.id];
-        const bool isHeld = cold && coldWait(m_context, *entry, *cold, now) > Millis(0);
-        const bool isFree = !isHeld && wantsRequest(pool, instance, origin, now);
-        const bool isAvoided = isFree
-            && (now < member.avoidedUntil || (!origin.sender.empty() && !reaches(m_context, origin.sender, instance)));
-        candidates.push_back({ &member.stats, member.running, instance.slots, isFree,
-            instance.dataCentre == origin.dataCentre, isAvoided });
-    }
-    return candidates;
-}
-
-// The available instance that a request goes to now, or null.
-const InstanceEntry* Dispatcher::chooseMember(Pool& pool, const RequestOrigin& origin, Millis now)
-{
-    const auto entries = availableMembers(pool, now);
-    const auto candidates = candidatesOf(pool, entries, origin, now);
-    if (const auto chosen = chooseUpstream(candidates, pool.runTimes, origin.hasLargeBody, now))
-        return entries[*chosen];
-    const auto cold = coldBoundOf(m_context, pool.service);
-    for (const auto* it : entries) {
-        if (cold && wantsRequest(pool, it->instance, origin, now) && coldWait(m_context, *it, *cold, now) > Millis(0))
-            takeHeld(m_context, *it, *cold, now);
-    }
-    return nullptr;
-}
-
 // Refuses the waiting requests that have been quarantined since they arrived.
 void Dispatcher::refuseQuarantined(Pool& pool)
 {
@@ -659,68 +538,4 @@
     }
 }
 
-std::vector<LoadReport::Run> Dispatcher::meanRunTimes(const ServiceName& service) const
-{
-    std::vector<LoadReport::Run> runs;
-    for (const auto& [name, pool] : m_pools) {
-        if (pool.service != service)
-            continue;
-        for (const auto& [instance, member] : pool.members) {
-            // An upstream with a limit counts as one that is as slow as its slots make it by the limit, so that its
-            // load moves to others.
-            const auto pace = m_paces.find(instance);
-            const auto* entry = m_context.directory.findInstance(instance);
-            const double pacedMs
-                = pace == m_paces.end() || !entry ? 0 : 1000.0 * entry->instance.slots / *pace->second.perSecond;
-            if (member.stats.runMs > 0)
-                runs.push_back({ instance, std::max(member.stats.runMs, pacedMs) });
-        }
-    }
-    return runs;
-}
-
-void Dispatcher::publishMetrics()
-{
-    for (const auto& [name, pool] : m_pools) {
-        m_context.metrics.set(
-            "pistachiospur_upstream_waiting", { { "upstream", name } }, static_cast<double>(waitingCount(pool.queue)));
-        m_context.metrics.set(
-            "pistachiospur_upstream_running", { { "upstream", name } }, static_cast<double>(pool.queue.running));
-    }
-    publishPlaces();
-}
-
-// Sums what the queues of a service have done for each rank.
-void Dispatcher::publishPlaces()
-{
-    std::map<std::pair<ServiceName, RankName>, std::pair<PlaceCounts, QueueTimes>> sums;
-    for (const auto& [name, pool] : m_pools) {
-        for (const auto& [rank, counts] : pool.places.counts)
-            sums[{ pool.service, rank }].first += counts;
-        for (const auto& [rank, times] : pool.queueTimes) {
-            QueueTimes& sum = sums[{ pool.service, rank }].second;
-            sum.served += times.served;
-            sum.refused += times.refused;
-            sum.servedCount += times.servedCount;
-            sum.refusedCount += times.refusedCount;
-        }
-    }
-    Metrics& metrics = m_context.metrics;
-    for (const auto& [name, sum] : sums) {
-        const auto& [places, times] = sum;
-        const auto labels = [&name = name](const char* outcome) {
-            return Metrics::Labels { { "service", name.first }, { "rank", name.second }, { "outcome", outcome } };
-        };
-        metrics.raise("pistachiospur_places_total", labels("given"), static_cast<double>(places.given));
-        metrics.raise("pistachiospur_places_total", labels("kept"), static_cast<double>(places.kept));
-        metrics.raise("pistachiospur_places_total", labels("missed"), static_cast<double>(places.missed));
-        metrics.raise("pistachiospur_places_total", labels("expired"), static_cast<double>(places.expired));
-        const auto seconds = [](Millis it) { return std::chrono::duration<double>(it).count(); };
-        metrics.raise("pistachiospur_queue_seconds_total", labels("served"), seconds(times.served));
-        metrics.raise("pistachiospur_queue_seconds_total", labels("refused"), seconds(times.refused));
-        metrics.raise("pistachiospur_queued_total", labels("served"), static_cast<double>(times.servedCount));
-        metrics.raise("pistachiospur_queued_total", labels("refused"), static_cast<double>(times.refusedCount));
-    }
-}
-
 } // namespace pistachiospur
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -24,6 +24,8 @@
 // all grants of the earlier era have expired.
 namespace pistachiospur {
 
+constexpr Millis kPlanInterval { 300 };
+
 class RangeLeader {
 public:
     RangeLeader(GatewayContext&, ServiceName);
