--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -118,6 +118,7 @@
     void addEvacuatedOwners(
         std::vector<OwnerCapacity>&, std::set<std::uint32_t>& fixed, const std::vector<Range>&, const SlotLoads&) const;
     std::vector<Range> initialRanges();
+    std::set<std::uint32_t> settleGrants(std::vector<Range>&, bool& changed);
     std::vector<Range> nextRanges(bool& changed);
     void allowForUnknownGrants(std::vector<Range>&) const;
     bool hasCleared(const Range&) const;
--- a/src/gateway/planning.cpp
+++ b/src/gateway/planning.cpp
@@ -72,12 +72,10 @@
     }
 }
 
-// The ranges to write next: without previous owners where the new owner has accepted a grant, with a new fencing token
-// where the owner has seen a higher one, and with the moves of a new plan. Sets `changed` if they differ from the
-// table.
-std::vector<Range> RangeLeader::nextRanges(bool& changed)
+// Brings ranges of the table up to what is known of their grants. Sets `changed` if one differs from the table then.
+// Returns the first slots of the ranges that must not move.
+std::set<std::uint32_t> RangeLeader::settleGrants(std::vector<Range>& ranges, bool& changed)
 {
-    std::vector<Range> ranges = m_table.ranges;
     std::set<std::uint32_t> fixed;
     for (auto& range : ranges) {
         const RangeState& state = m_rangeStates[keyOf(range)];
@@ -99,6 +97,16 @@
             || mayHaveEarlierGrants(state))
             fixed.insert(range.first.value);
     }
+    return fixed;
+}
+
+// The ranges to write next: without previous owners where the new owner has accepted a grant, with a new fencing token
+// where the owner has seen a higher one, and with the moves of a new plan. Sets `changed` if they differ from the
+// table.
+std::vector<Range> RangeLeader::nextRanges(bool& changed)
+{
+    std::vector<Range> ranges = m_table.ranges;
+    std::set<std::uint32_t> fixed = settleGrants(ranges, changed);
     auto eligible = eligibleOwners();
     addEvacuatedOwners(eligible, fixed, ranges, lastingLoads(m_plans.rates));
     BalancePolicy policy;
