Models: data centres that are emptied and taken back, and the guard of moves out of them

The operator empties the data centre of either upstream or takes the request back at any time, and hosts learn of it later or not at all.

--- a/models/ranges.pml
+++ b/models/ranges.pml
@@ -21,6 +21,12 @@
  * wait as follows. Any other new leader that finds no table of its era regards each upstream as a possible holder
  * (anyPrevious), names it so in its table, and waits until all grants of leaders of the earlier era have expired.
  *
+ * With EVACUATION an operator empties the data centre of either upstream, or takes the request back, at any time; one
+ * request is in force at most. Each host learns of either later, or not at all. A leader moves the range to no upstream
+ * whose data centre it knows to be emptied, and its moves out are like all others: the old owner may serve until its
+ * grants have ended, since hosts that do not know of the request, or know that it was taken back, go on sending to it.
+ * The store does not come back from a copy then.
+ *
  * All times are those that are left, so that the search is not bounded in time. With LONG_GRANTS and FEW_WRITES
  * a grant lasts longer than an order takes, and the hosts lead in any order; with the first, the store does not come
  * back from a copy.
@@ -43,7 +49,7 @@
 #else
 #define LAST_WRITE 4
 #endif
-#ifdef LONG_GRANTS
+#if defined(LONG_GRANTS) || defined(EVACUATION)
 #define RETURN false /* of the store from an older copy */
 #else
 #define RETURN true
@@ -70,6 +76,24 @@
 byte writerAt[LAST_WRITE + 1] = NOBODY;
 #endif
 
+#ifdef EVACUATION
+/* The upstream whose data centre is emptied; the last values are those that the hosts know. */
+byte emptied = NOBODY;
+byte knownEmptied[2] = NOBODY;
+bool wasMovedOut = false;
+#define mayMoveTo(k, u) (knownEmptied[k] != (u))
+#define isMovedOut(k) (knownEmptied[k] == 1 - owner)
+#else
+#define mayMoveTo(k, u) true
+#define isMovedOut(k) false
+#endif
+/* Whether a move out is complete at once, since nothing is sent to the old owner any more. */
+#ifdef NO_WAIT_FOR_EMPTIED
+#define isClearedAtOnce(k) isMovedOut(k)
+#else
+#define isClearedAtOnce(k) false
+#endif
+
 /* Upstreams. */
 byte holdLeft[2];
 byte seenFence[2];
@@ -354,10 +378,18 @@
         takeOver(k) }
     :: d_step { isLeaseRenewed(k) -> renewLease(k) }
     :: d_step { mayWrite(k) && leadsWithCurrentView(k) && writes < LAST_WRITE && !viewPrevious[k] && !viewAny[k] &&
-            grantState[k] == 0 ->
+            grantState[k] == 0 && mayMoveTo(k, 1 - viewOwner[k]) ->
         owner = 1 - viewOwner[k]; previous = true;
         viewAny[k] = unknownGrantsMayHold(k); anyPrevious = viewAny[k] && namesAny;
-        writeTable(k); reloadView(k) }
+        writeTable(k); reloadView(k);
+        if :: isClearedAtOnce(k) -> cleared[k] = true :: else fi;
+#ifdef EVACUATION
+        wasMovedOut = isMovedOut(k)
+#endif
+    }
+#ifdef EVACUATION
+    :: d_step { knownEmptied[k] != emptied -> knownEmptied[k] = emptied }
+#endif
     /*
      * A leader that has not heard of the new era writes. Revisions may match by chance, and its claim may be in the
      * copy; the table names the earlier era, and so the write has no effect if its writer sees the answer's era.
@@ -501,11 +533,30 @@
 #endif
 }
 
-init { atomic { run Host(0); run Host(1); run Clock(); run Store(); run Upstream(0); run Upstream(1) } }
+#ifdef EVACUATION
+proctype Operator()
+{
+    do
+    :: d_step { emptied == NOBODY -> emptied = 0 }
+    :: d_step { emptied == NOBODY -> emptied = 1 }
+    :: d_step { emptied != NOBODY -> emptied = NOBODY }
+    od
+}
+#endif
+
+init { atomic { run Host(0); run Host(1); run Clock(); run Store(); run Upstream(0); run Upstream(1)
+#ifdef EVACUATION
+    ; run Operator()
+#endif
+} }
 
 ltl oneOwner { [] !(holds(0) && holds(1)) }
 /* Expected to be violated, which shows that the range can move to the other upstream. */
 ltl neverMoves { [] !holds(1) }
+#ifdef EVACUATION
+/* Expected to be violated, which shows that the range leaves a data centre that is emptied and is served elsewhere. */
+ltl neverLeaves { [] !(wasMovedOut && holds(owner) && emptied == 1 - owner) }
+#endif
 /* Expected to be violated, which shows that a leader that waited for any upstream grants the range. */
 #define grantsAgain(k) (viewAny[k] && cleared[k] && holds(viewOwner[k]) && seenFence[viewOwner[k]] == viewFence[k])
 ltl neverGrantsAgain { [] !(grantsAgain(0) || grantsAgain(1)) }
