--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -56,7 +56,7 @@
     call.bodyBytes = rest.totalBytes;
     // The answer is checked against the request's id alone, so the body need not be kept for it.
     Request sent = request;
-    sent.body = {};
+    freeMemory(sent.body);
     const Millis connectTimeout = call.connectTimeout;
     return context.http.start(std::move(call),
         [&context, sent = std::move(sent), upstream, startedAt, connectTimeout, callback = std::move(callback)](
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -285,7 +285,7 @@
             hasLargeBody, now - sentAt, pending.callerDeadline - now, mayComeBack };
         relay.request.deadline -= now;
         if (relay.turnOnly)
-            relay.request.body = {};
+            freeMemory(relay.request.body);
         const Lane lane = hasLargeBody && !relay.turnOnly ? Lane::bulk : Lane::control;
         const auto link = m_context.hub.send(coordinator, relay, lane);
         if (!link)
--- a/src/io/body.h
+++ b/src/io/body.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "memory.h"
+
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -78,6 +80,7 @@
 
     State state() const { return m_state; }
     std::size_t buffered() const { return m_bytes.size() - m_readBytes; }
+    std::size_t heldBytes() const { return heapBytes(m_bytes); }
     bool isAtEnd() const { return m_state == State::finished && buffered() == 0; }
     // Whether the writer should wait until bytes are read.
     bool isFull() const { return buffered() >= kBodyWindowBytes; }
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "memory.h"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cstdlib>
@@ -350,7 +352,8 @@
             [](const auto& a, const auto& b) { return a.second->heldBytes < b.second->heldBytes; });
         Transfer& transfer = *largest->second;
         transfer.tooLarge = true;
-        transfer.answer = {}; // libcurl may go through many calls before it returns
+        freeMemory(transfer.answer.body); // libcurl may go through many calls before it returns
+        transfer.answer = {};
         m_totalBytes -= std::exchange(transfer.heldBytes, 0);
         m_tooLarge.push_back(transfer.id);
     }
--- a/src/io/http_connection.cpp
+++ b/src/io/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "http_connection.h"
 
+#include "memory.h"
 #include "socket.h"
 
 #include <algorithm>
@@ -88,7 +89,7 @@
     m_timer.stop();
     ::close(std::exchange(m_fd, -1));
     m_pipeline.end();
-    m_pipeline.output() = {};
+    freeMemory(m_pipeline.output());
     m_server.m_unsentBytes -= std::exchange(m_unsentBytes, 0);
     for (auto& [sequence, exchange] : std::exchange(m_exchanges, {})) {
         exchange->connection = nullptr;
@@ -210,7 +211,7 @@
         m_activeAt = monotonicNow();
     }
     if (m_sent == output.size()) {
-        output = {};
+        freeMemory(output);
         m_sent = 0;
     } else if (m_sent >= kReadChunkBytes && m_sent >= output.size() / 2) {
         output = output.substr(std::exchange(m_sent, 0));
@@ -256,7 +257,7 @@
 // Keeps the server's sum of unsent bytes, and lets it close connections once the sum is too large.
 void HttpConnection::countUnsent()
 {
-    const std::size_t unsent = m_pipeline.waitingMemory() - m_sent;
+    const std::size_t unsent = m_pipeline.waitingMemory();
     if (m_unsentBytes == 0)
         m_waitingSince = monotonicNow();
     m_server.m_unsentBytes += unsent - m_unsentBytes;
--- a/src/io/http_pipeline.cpp
+++ b/src/io/http_pipeline.cpp
@@ -1,5 +1,7 @@
 #include "http_pipeline.h"
 
+#include "memory.h"
+
 #include <algorithm>
 
 namespace pistachiospur {
@@ -53,9 +55,8 @@
 
 std::size_t HttpPipeline::waitingMemory() const
 {
-    const auto heapBytes = [](const std::string& it) { return it.empty() ? 0 : it.capacity(); };
     return heapBytes(m_input) + heapBytes(m_output) + m_waitingBytes + m_slots.size() * kSlotBytes
-        + (m_pipe ? m_pipe->buffered() : 0);
+        + (m_pipe ? m_pipe->heldBytes() : 0);
 }
 
 bool HttpPipeline::mayStartNext() const
@@ -98,7 +99,7 @@
 void HttpPipeline::trimInput()
 {
     if (m_inputEnded)
-        m_input = {};
+        freeMemory(m_input);
     if (m_input.capacity() > 2 * m_input.size() + kInputSlackBytes)
         m_input.shrink_to_fit();
 }
@@ -227,7 +228,7 @@
     const auto declared = m_parser->contentLength().value_or(0);
     if (std::max<std::uint64_t>(m_bodyBytes, declared) > m_limits.bodyBytes) {
         if (!m_pipe) {
-            m_request.body = {};
+            freeMemory(m_request.body);
             m_request.tooLarge = true;
             // The slot may have to wait for its turn; the request is then passed on without its body.
             if (mayPassOn())
@@ -273,8 +274,7 @@
         m_slots.emplace_back();
     m_slots.back().response = std::move(response);
     m_slots.back().complete = true;
-    m_request = {};
-    m_charge = nullptr;
+    dropRequest();
     endInput();
     advance();
 }
@@ -291,9 +291,8 @@
 {
     m_inputEnded = true;
     if (!m_parsing) {
-        m_input = {};
-        m_request = {};
-        m_charge = nullptr;
+        freeMemory(m_input);
+        dropRequest();
     }
     releasePipe();
 }
@@ -316,6 +315,14 @@
     refuse({ kRequestTimeout, {}, "" });
 }
 
+// Forgets the request that is arriving, or what is left of one that was passed on.
+void HttpPipeline::dropRequest()
+{
+    freeMemory(m_request.body);
+    m_request = {};
+    m_charge.reset();
+}
+
 void HttpPipeline::finishReceiving()
 {
     if (!m_slots.empty() && m_slots.back().closes)
@@ -324,8 +331,7 @@
     if (m_pipe)
         m_pipe->onRead(nullptr);
     m_pipe.reset();
-    m_charge.reset();
-    m_request = {};
+    dropRequest();
     m_chargedHeadBytes = 0;
     m_bodyBytes = 0;
     m_headSeen = false;
@@ -413,7 +419,7 @@
         m_waitingBytes -= response.body.size();
         if (!slot.headOnly)
             m_output += response.body;
-        response.body = {};
+        freeMemory(response.body);
     }
     m_output += slot.chunks;
     m_waitingBytes -= slot.chunks.size();
--- a/src/io/http_pipeline.h
+++ b/src/io/http_pipeline.h
@@ -123,6 +123,7 @@
     void refuseForMemory();
     void endInput();
     void releasePipe();
+    void dropRequest();
     void finishReceiving();
     void closeAfterLast();
     void sendSlot(Slot&);
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -212,7 +212,7 @@
     if (m_watchBuffer.size() <= m_maxLineBytes)
         return;
     stopWatch();
-    m_watchBuffer = {};
+    freeMemory(m_watchBuffer);
     const StoreError error { m_endpoints[m_endpointIndex % m_endpoints.size()].text(), {}, WriteOutcome::notApplied,
         0 };
     tryNextEndpoint();
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -269,6 +271,38 @@
     std::for_each(callers.begin(), callers.end(), ::close);
 }
 
+// Guards against connections that keep the memory of responses which their callers have taken.
+BOOST_AUTO_TEST_CASE(memoryOfResponsesThatAreTakenIsReturned)
+{
+    constexpr std::size_t kAnswerBytes = 1u << 20, kCallers = 16;
+    HttpServer server({ "127.0.0.1", 0 }, 1000, [&](const HttpRequest&, const Responder& responder) {
+        responder.respond({ 200, {}, std::string(kAnswerBytes, 'y') });
+    });
+    const auto usedBytes = [] {
+        const auto info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    const std::size_t before = usedBytes();
+    std::vector<int> callers;
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (std::size_t n = 0; n < kCallers; ++n) {
+        callers.push_back(connectTo({ "127.0.0.1", server.port() }));
+        bool sent = false;
+        std::size_t taken = 0;
+        BOOST_REQUIRE(runLoopUntil([&] {
+            char buf[65536];
+            sent = sent || ::send(callers.back(), request.data(), request.size(), MSG_NOSIGNAL) > 0;
+            taken += static_cast<std::size_t>(
+                std::max<ssize_t>(0, ::recv(callers.back(), buf, sizeof buf, MSG_DONTWAIT)));
+            return taken >= kAnswerBytes && !server.isResponding();
+        }));
+    }
+    BOOST_TEST(server.connectionCount() == kCallers);
+    BOOST_TEST(server.unsentBytes() == 0u);
+    BOOST_TEST(usedBytes() < before + kCallers * kAnswerBytes / 4);
+    std::for_each(callers.begin(), callers.end(), ::close);
+}
+
 // Guards against a caller that sends requests without end and reads no answer.
 BOOST_AUTO_TEST_CASE(requestsAreReadNoFasterThanTheirAnswersAreTaken)
 {
