Upstreams: the bytes of requests that one is sent at once are bounded

Cause: an upstream ends when the requests that it holds exceed its memory, and only their number was bounded; with slow upstreams or large bodies a host sent what its slots allow. Change: each upstream holds at most upstream_mb (default 256) of heads and whole bodies, kept where its queue is; a relay names its request's bytes (a member at the end, zero from older builds). One request alone always passes, smaller ones pass those that wait. pistachiospur_held_bytes_waits_total counts them. A body is no longer kept by the queue once sent.

--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -199,6 +199,7 @@
     if (const Millis latency = added.request.targetLatency; latency > Millis(0))
         waiting.target = LatencyTarget { latency, added.origin.sentAt + latency };
     const CallerTrace caller = traceOf(added);
+    pool.largestBytes = std::max(waitingCount(pool.queue) == 0 ? 0 : pool.largestBytes, added.origin.bytes);
     m_poolNames[id] = nameOf(pool);
     pool.jobs.emplace(id, std::move(added));
     if (const auto away = enqueueOrGivePlace(pool.queue, pool.places, pool.policy, waiting, caller, now)) {
@@ -206,6 +207,8 @@
         return 0;
     }
     startWaiting(pool);
+    if (waitsForBytes(pool, id, now))
+        m_context.metrics.count("pistachiospur_held_bytes_waits_total");
     return m_poolNames.count(id) ? id : 0;
 }
 
@@ -261,8 +264,8 @@
             return;
         const auto isStartable
             = [&](const WaitingRequest& it) { return chooseMember(pool, pool.jobs.at(it.id).origin, now) != nullptr; };
-        const auto next = startNext(
-            pool.queue, pool.policy, now, m_context.pauses.ends.empty() ? IsStartable() : IsStartable(isStartable));
+        const bool startsAny = m_context.pauses.ends.empty() && !mayExceedBytes(pool);
+        const auto next = startNext(pool.queue, pool.policy, now, startsAny ? IsStartable() : IsStartable(isStartable));
         if (!next)
             return;
         sendToUpstream(pool, next->id, *chooseMember(pool, pool.jobs.at(next->id).origin, now));
@@ -280,6 +283,7 @@
     job.instance = entry.instance.id;
     Member& member = pool.members[job.instance];
     ++member.running;
+    member.heldBytes += job.origin.bytes;
     noteSent(member.stats, job.startedAt);
     job.workFactor = workFactorNow(member.stats, job.startedAt);
     if (const auto pace = m_paces.find(job.instance); pace != m_paces.end())
@@ -291,6 +295,7 @@
     job.call = sendRequest(m_context, entry.instance, job.request, job.rest,
         [this, pool = nameOf(pool), id](
             Reply reply, const RateNotice& rate) { onReply(pool, id, std::move(reply), rate); });
+    freeMemory(job.request.body); // the call has its own, and another attempt starts at the first host
 }
 
 void Dispatcher::endTurn(
@@ -378,7 +383,9 @@
         return;
     Job& job = node.mapped();
     if (job.running) {
-        --pool.members[job.instance].running;
+        Member& member = pool.members[job.instance];
+        --member.running;
+        member.heldBytes -= job.origin.bytes;
         const bool served = std::holds_alternative<Answer>(reply) && !isUpstreamFailure(reply);
         finishRun(pool.queue, job.request.order, served ? std::optional(monotonicNow() - job.startedAt) : std::nullopt);
     } else {
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "requests/completion.h"
+#include "requests/held_bytes.h"
 #include "requests/pace.h"
 #include "requests/places.h"
 #include "requests/queue.h"
@@ -29,6 +30,7 @@
     Millis sentAt {}; // by the caller, as far as its first host can tell; monotonic clock
     Millis callerDeadline {}; // when the caller gives up; zero if unknown
     bool mayComeBack = false; // a refusal goes to the caller
+    std::uint64_t bytes = 0; // that the request takes at its upstream
 };
 
 using SendCallback = std::function<void(Reply, const RateNotice&)>;
@@ -95,6 +97,7 @@
     // State of one upstream instance of a pool.
     struct Member {
         unsigned running = 0; // requests
+        std::uint64_t heldBytes = 0; // of those
         UpstreamStats stats;
         Millis avoidedUntil {}; // monotonic clock: chosen only if no other member has a free slot
     };
@@ -110,6 +113,7 @@
         std::map<InstanceId, Member> members;
         SlotArrivals slotArrivals; // of a keyed service
         GroupTimes runTimes;
+        std::uint64_t largestBytes = 0; // of the requests that wait, or more
     };
 
     Pool& findOrCreatePool(const ServiceName&, const UpstreamName&);
@@ -126,6 +130,9 @@
         Pool&, const std::vector<const InstanceEntry*>&, const RequestOrigin&, Millis now);
     const InstanceEntry* chooseMember(Pool&, const RequestOrigin&, Millis now);
     std::vector<const InstanceEntry*> availableMembers(const Pool&, Millis now) const;
+    bool mayExceedBytes(const Pool&) const;
+    bool waitsForBytes(Pool&, JobId, Millis now);
+    std::uint64_t maxUpstreamBytes() const;
     void startWaiting(Pool&);
     void endOverdueTurns();
     void sendToUpstream(Pool&, JobId, const InstanceEntry&);
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -259,6 +259,14 @@
     scheduleAttempt(id, std::max(Millis(1), maxWait - waited));
 }
 
+// What the request takes at its upstream. A body of unknown size may become as large as the callers' limit.
+std::uint64_t GatewayFrontend::upstreamBytesOf(const PendingRequest& pending) const
+{
+    const auto& routes = m_context.directory.routes();
+    const std::uint64_t most = routes ? routes->limits.bodyBytes : 0;
+    return bytesOf(pending.request, pending.rest ? pending.bodyBytes.value_or(most) : pending.request.body.size());
+}
+
 void GatewayFrontend::forward(RequestId id, const UpstreamName& upstream, const DataCentreName& preferredDataCentre)
 {
     PendingRequest& pending = *m_pending.at(id);
@@ -282,7 +290,7 @@
         const bool turnOnly = (hasLargeBody || pending.group) && (reachesUpstream || !mayRelay);
         const Millis now = monotonicNow();
         Relay relay { relayId(id, attemptNumber), upstream, pending.request, m_context.settings.dataCentre, turnOnly,
-            hasLargeBody, now - sentAt, pending.callerDeadline - now, mayComeBack };
+            hasLargeBody, now - sentAt, pending.callerDeadline - now, mayComeBack, upstreamBytesOf(pending) };
         relay.request.deadline -= now;
         if (relay.turnOnly)
             freeMemory(relay.request.body);
@@ -301,7 +309,7 @@
         },
         { pending.rest, pending.bodyBytes },
         { m_context.settings.dataCentre, pending.rest || pending.request.body.size() > kMaxForwardedBodyBytes,
-            m_context.settings.host, sentAt, pending.callerDeadline, mayComeBack });
+            m_context.settings.host, sentAt, pending.callerDeadline, mayComeBack, upstreamBytesOf(pending) });
     const auto found = m_pending.find(id);
     if (found != m_pending.end() && found->second->attempt == attemptNumber)
         found->second->job = job;
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -81,6 +81,7 @@
         HttpRequest&&, const CallerMetadata&, const Responder&);
     HttpResponse refuseAtOnce(const CallerMetadata&, const Refusal&);
     bool isKeyed(const ServiceName&) const;
+    std::uint64_t upstreamBytesOf(const PendingRequest&) const;
     void startAttempt(RequestId);
     void forward(RequestId, const UpstreamName&, const DataCentreName& preferredDataCentre);
     unsigned chooseGroupFor(const PendingRequest&);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -320,7 +320,8 @@
     m_relayedRequests[key] = std::move(relayed);
     const RequestOrigin origin { relay.turnOnly ? relay.origin : m_context.settings.dataCentre, relay.hasLargeBody,
         relay.turnOnly ? from.host : m_context.settings.host, now - relay.waited,
-        relay.callerTimeLeft > Millis(0) ? now + relay.callerTimeLeft : Millis(0), relay.mayComeBack };
+        relay.callerTimeLeft > Millis(0) ? now + relay.callerTimeLeft : Millis(0), relay.mayComeBack,
+        std::max(relay.bytes, bytesOf(relay.request, relay.request.body.size())) };
     const auto job = relay.turnOnly
         ? m_dispatcher.submitForTurn(
             relay.upstream, std::move(relay.request), onReply,
--- a/src/gateway/pool_members.cpp
+++ b/src/gateway/pool_members.cpp
@@ -85,12 +85,42 @@
     return shortest.value_or(Millis(0));
 }
 
-// Whether an instance has a free slot, and neither its stated limit nor a pause forbids a start.
+// Bytes of requests that one upstream may hold at once.
+std::uint64_t Dispatcher::maxUpstreamBytes() const
+{
+    return static_cast<std::uint64_t>(m_context.settings.limits.upstreamMb) << 20;
+}
+
+// Whether an instance of a pool may have too little memory for a request that waits.
+bool Dispatcher::mayExceedBytes(const Pool& pool) const
+{
+    return std::any_of(pool.members.begin(), pool.members.end(), [&](const auto& it) {
+        return !mayHold({ it.second.running, it.second.heldBytes }, pool.largestBytes, maxUpstreamBytes());
+    });
+}
+
+// Whether a request waits only until an upstream holds less.
+bool Dispatcher::waitsForBytes(Pool& pool, JobId id, Millis now)
+{
+    const auto job = pool.jobs.find(id);
+    if (job == pool.jobs.end() || job->second.running || !mayExceedBytes(pool))
+        return false;
+    RequestOrigin origin = job->second.origin;
+    if (chooseMember(pool, origin, now))
+        return false;
+    origin.bytes = 0;
+    return chooseMember(pool, origin, now) != nullptr;
+}
+
+// Whether an instance has a free slot and memory for the request, and neither its stated limit nor a pause forbids a
+// start.
 bool Dispatcher::wantsRequest(
     Pool& pool, const UpstreamInstance& instance, const RequestOrigin& origin, Millis now) const
 {
     const auto pace = m_paces.find(instance.id);
-    return pool.members[instance.id].running < instance.slots
+    const Member& member = pool.members[instance.id];
+    return member.running < instance.slots
+        && mayHold({ member.running, member.heldBytes }, origin.bytes, maxUpstreamBytes())
         && (pace == m_paces.end() || timeToStart(pace->second, 0, now) == Millis(0))
         && pauseLeft(m_context.pauses, instance.id, origin.sender, now) == Millis(0);
 }
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -60,6 +60,9 @@
             "memory that the process may use; an eighth of it is for requests of callers and other hosts with their "
             "heads, an eighth for answers that callers have not taken and input that waits, an eighth for answers of "
             "upstreams, and a 32nd each for the readiness checks and the operators" },
+        { "upstream_mb", &GatewayLimits::upstreamMb, 256, 1, 1 << 20, "MB",
+            "memory of an upstream for the requests that it holds: more, with their heads and whole bodies, are not "
+            "sent to it at once" },
         { "descriptors", &GatewayLimits::descriptors, 4096, 64, 1 << 20, "descriptors",
             "file descriptors that the process may open; callers' connections get half of them" },
         { "body_ms", &GatewayLimits::bodyMs, 60000, 1000, 3600000, "ms",
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -30,6 +30,7 @@
     std::int64_t retryWindowMs = 0;
     std::int64_t memoryMb = 0;
     std::int64_t descriptors = 0;
+    std::int64_t upstreamMb = 0;
     std::int64_t bodyMs = 0;
     std::int64_t quietMs = 0;
     std::int64_t doorConnections = 0;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -84,6 +84,8 @@
     { "pistachiospur_moved_slots_total", "counter", "slots in these runs" },
     { "pistachiospur_hot_slots", "gauge",
         "slots that get more requests than any upstream runs, by service; with judged_moves only" },
+    { "pistachiospur_held_bytes_waits_total", "counter",
+        "requests that waited because their upstreams held too many bytes of others" },
     { "pistachiospur_slot_share_refusals_total", "counter",
         "requests refused because their slot has its share of the waiting ones of its upstream" },
     { "pistachiospur_burn_rate", "gauge", "error budget burn rate by service, rank and window" },
--- a/src/peers/codec.h
+++ b/src/peers/codec.h
@@ -79,7 +79,7 @@
 template <> inline constexpr std::size_t kAddedMembers<ReplicaBatch> = 6;
 template <> inline constexpr std::size_t kAddedMembers<WatchUpdate> = 1;
 template <> inline constexpr std::size_t kAddedMembers<RelayTurnOver> = 1;
-template <> inline constexpr std::size_t kAddedMembers<Relay> = 3;
+template <> inline constexpr std::size_t kAddedMembers<Relay> = 4;
 
 template <std::size_t added = 0, typename... Members> void unpack(const nlohmann::json& j, Members&... members)
 {
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -92,7 +92,7 @@
 PISTACHIOSPUR_WIRE(ReleaseReport, std::tie(it.upstream, it.status))
 PISTACHIOSPUR_WIRE(Relay,
     std::tie(it.id, it.upstream, it.request, it.origin, it.turnOnly, it.hasLargeBody, it.waited, it.callerTimeLeft,
-        it.mayComeBack))
+        it.mayComeBack, it.bytes))
 PISTACHIOSPUR_WIRE(RelayReply, std::tie(it.id, it.reply, it.wait))
 PISTACHIOSPUR_WIRE(RelayCancel, std::tie(it.id))
 PISTACHIOSPUR_WIRE(Endpoint, std::tie(it.address, it.port))
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -112,6 +112,7 @@
     Millis waited {}; // since the caller sent the request, as far as its first host can tell
     Millis callerTimeLeft {}; // until the caller gives up, counted from receipt; zero if unknown
     bool mayComeBack = false; // the sender passes a refusal on to the caller
+    std::uint64_t bytes = 0; // that the request takes at its upstream; zero if the sender does not tell
 };
 
 struct RelayReply {
--- a/standins/raw_upstream.cpp
+++ b/standins/raw_upstream.cpp
@@ -74,6 +74,16 @@
         std::count_if(received.begin(), received.end(), [&](const RawRequest& it) { return it.id == id; }));
 }
 
+std::size_t RawUpstream::unreadBytes() const
+{
+    std::size_t n = 0;
+    for (const auto& it : m_connections) {
+        for (const auto& part : it->parts)
+            n += part.bytes.size();
+    }
+    return n;
+}
+
 void RawUpstream::accept()
 {
     const int fd = accept4(m_listenFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/standins/raw_upstream.h
+++ b/standins/raw_upstream.h
@@ -45,6 +45,8 @@
     const std::string& name() const { return m_name; }
     // Number of requests with this id that arrived whole.
     std::size_t runCount(const std::string& id) const;
+    // Bytes of due answers that nobody has taken from it.
+    std::size_t unreadBytes() const;
 
     Handler handler;
     std::vector<RawRequest> received; // orders are not listed
--- a/tests/raw_site.cpp
+++ b/tests/raw_site.cpp
@@ -47,7 +47,8 @@
 
 } // namespace
 
-RawSite::RawSite(int hosts, const standin::RawUpstream::Handler& handler, std::int64_t graceMs, unsigned keyedSlots)
+RawSite::RawSite(int hosts, const standin::RawUpstream::Handler& handler, std::int64_t graceMs, unsigned keyedSlots,
+    std::int64_t upstreamMb)
     : keyed("keyed", "k0", handler)
     , pooled("pool", "p0", handler)
 {
@@ -55,7 +56,7 @@
     store.put("servers/k0", keyed.entry(keyedSlots));
     store.put("servers/p0", pooled.entry(kSlots));
     for (int n = 0; n < hosts; ++n)
-        addHost(graceMs);
+        addHost(graceMs, upstreamMb);
 }
 
 RawSite::~RawSite()
@@ -78,7 +79,8 @@
     return { "127.0.0.1", boundPort(fd) };
 }
 
-void RawSite::addHost(std::int64_t graceMs)
+// Without `upstreamMb` the setting has its default.
+void RawSite::addHost(std::int64_t graceMs, std::int64_t upstreamMb)
 {
     GatewaySettings settings;
     const std::size_t host = m_settings.size();
@@ -92,6 +94,8 @@
     for (const auto& it : gatewayOptions())
         settings.limits.*it.field = it.defaultValue;
     settings.limits.graceMs = graceMs;
+    if (upstreamMb > 0)
+        settings.limits.upstreamMb = upstreamMb;
     callerEndpoints.push_back(settings.callers);
     peerEndpoints.push_back(settings.peers);
     m_settings.push_back(settings);
--- a/tests/raw_site.h
+++ b/tests/raw_site.h
@@ -10,7 +10,8 @@
 
 class RawSite {
 public:
-    RawSite(int hosts, const standin::RawUpstream::Handler&, std::int64_t graceMs = 6000, unsigned keyedSlots = 500);
+    RawSite(int hosts, const standin::RawUpstream::Handler&, std::int64_t graceMs = 6000, unsigned keyedSlots = 500,
+        std::int64_t upstreamMb = 0);
     ~RawSite();
     RawSite(const RawSite&) = delete;
     RawSite& operator=(const RawSite&) = delete;
@@ -41,7 +42,7 @@
 
 private:
     Endpoint reservePort();
-    void addHost(std::int64_t graceMs);
+    void addHost(std::int64_t graceMs, std::int64_t upstreamMb);
     void start(std::size_t host);
 
     std::vector<GatewaySettings> m_settings; // of the hosts
