Fuzz test: what crowds of misbehaving callers send, and small changes of it

17 cases of the crowd tests in small, with up to three changes each, over the real parser; FUZZ_SEED and FUZZ_ROUNDS as for the others.

--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -41,6 +41,53 @@
     return bytes;
 }
 
+std::string repeated(const std::string& text, std::size_t times)
+{
+    std::string all;
+    while (times-- > 0)
+        all += text;
+    return all;
+}
+
+// What the crowds of tests/crowd_test.cpp send, in small.
+std::vector<std::string> corpus()
+{
+    const std::string get = "GET /safe/x HTTP/1.1\r\nHost: a\r\n", post = "POST /pool/x HTTP/1.1\r\nHost: a\r\n";
+    const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n", part = "5\r\nccccc\r\n";
+    return { post + "Content-Length: 30\r\n\r\n" + std::string(29, 'b'), chunked + repeated(part, 6) + "0\r\n\r\n",
+        post + "Content-Length: 4000\r\n\r\n" + std::string(200, 'b'), chunked + repeated(part, 20),
+        chunked + "5;" + repeated("extension=", 100), chunked + part + "0\r\n" + repeated("x1:\r\n", 20) + "\r\n",
+        chunked + part + "0\r\n" + repeated("x: y\r\n", 200), get + repeated("x1:\r\n", 40),
+        get + repeated("x1:\r\nx2:\r\n", 10) + "\r\n", "GET /?" + repeated("1&", 100) + " HTTP/1.1\r\n",
+        get + "long: " + std::string(300, 'v') + "\r\n\r\n", get + repeated("x: " + std::string(50, 'v') + "\r\n", 30),
+        "GET /" + std::string(2000, 'a'), repeated("\r\n", 1000), repeated(get + "\r\n", 40), "GET /sa", "" };
+}
+
+// A case of the corpus with up to three changes: a byte is replaced, a part is left out, repeated, or taken from
+// another.
+std::string changedCase(const std::vector<std::string>& cases, std::mt19937_64& random)
+{
+    std::string bytes = cases[random() % cases.size()];
+    for (std::size_t n = random() % 4; n > 0 && !bytes.empty(); --n) {
+        const std::size_t at = random() % bytes.size(), size = random() % 64;
+        const std::string& other = cases[random() % cases.size()];
+        switch (random() % 4) {
+        case 0:
+            bytes[at] = static_cast<char>(random());
+            break;
+        case 1:
+            bytes.erase(at, size);
+            break;
+        case 2:
+            bytes.insert(at, bytes.substr(at, size));
+            break;
+        default:
+            bytes.insert(at, other.substr(other.empty() ? 0 : random() % other.size(), size));
+        }
+    }
+    return bytes;
+}
+
 using OpenRequests = std::vector<std::pair<HttpPipeline::Sequence, HttpRequest>>;
 
 // Receives the bytes as a server does, and answers at random times.
@@ -70,7 +117,7 @@
 }
 
 // Feeds one connection.
-void feed(std::mt19937_64& random)
+void feed(const std::string& bytes, std::mt19937_64& random)
 {
     HttpLimits limits;
     limits.headerBytes = 512;
@@ -98,7 +145,7 @@
             } },
         budget);
     self = &pipeline;
-    receiveAll(pipeline, randomBytes(random), open, random);
+    receiveAll(pipeline, bytes, open, random);
     BOOST_TEST(std::is_sorted(passedOn.begin(), passedOn.end()));
     BOOST_TEST((std::adjacent_find(passedOn.begin(), passedOn.end()) == passedOn.end()));
     BOOST_TEST(pipeline.waitingMemory() < 400000u);
@@ -116,7 +163,18 @@
 {
     std::mt19937_64 random(numberFrom("FUZZ_SEED", 54));
     for (std::uint64_t n = numberFrom("FUZZ_ROUNDS", 3000); n > 0; --n)
-        feed(random);
+        feed(randomBytes(random), random);
+}
+
+// The same for what crowds of misbehaving callers send, and for small changes of it.
+BOOST_AUTO_TEST_CASE(anyChangeOfWhatCrowdsSendIsHandled)
+{
+    std::mt19937_64 random(numberFrom("FUZZ_SEED", 54));
+    const auto cases = corpus();
+    for (const std::string& it : cases)
+        feed(it, random);
+    for (std::uint64_t n = numberFrom("FUZZ_ROUNDS", 3000); n > 0; --n)
+        feed(changedCase(cases, random), random);
 }
 
 // Of all status lines, only those of three digits from 100 to 599 are one.
