Directory: a range table is read again only once the store has answered

Cause: a host that lacks a table asked the store for it every 500 ms, whether or not the answer was on its way. At 300 hosts with 2,490 ranges each host had started 13 reads in the first 10 s. Change: one read of a table at a time. The test fails without it.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -306,9 +306,13 @@
         m_onChange();
 }
 
+// One read at a time: a table of a megabyte takes longer than the pause after which a host would ask again.
 void Directory::readTable(const ServiceName& service)
 {
-    m_store->read(tableKey(service), [this, key = tableKey(service)](ReadResult result) {
+    if (!m_tableReads.insert(service).second)
+        return;
+    m_store->read(tableKey(service), [this, service, key = tableKey(service)](ReadResult result) {
+        m_tableReads.erase(service);
         if (const auto* error = std::get_if<StoreError>(&result))
             return onStoreFailure("table", *error);
         auto& values = std::get<Snapshot>(result).values;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -204,6 +204,7 @@
     std::map<ServiceName, LeaderEntry> m_leaders;
     std::map<ServiceName, StoredTable> m_tables;
     std::map<ServiceName, StoreRevision> m_tableDeletions; // older tables are outdated
+    std::set<ServiceName> m_tableReads; // that are not answered
     KeyVersions m_known;
     ChangeHistory m_history; // without range tables
 
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -473,4 +473,17 @@
     }
 }
 
+// Hundreds of hosts that ask again for a large table, while the answer arrives, make it arrive ever later.
+BOOST_AUTO_TEST_CASE(tableIsReadAgainOnlyOnceTheStoreHasAnswered)
+{
+    Fixture site;
+    const std::size_t before = site.store.reads.size();
+    site.directory.readTable("s");
+    site.directory.readTable("s");
+    BOOST_REQUIRE(site.store.reads.size() == before + 1);
+    site.store.answerLastRead(StoreError {});
+    site.directory.readTable("s");
+    BOOST_TEST(site.store.reads.size() == before + 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
