Range leader: updates name runs of pending ranges and are paced by the number of hosts

Cause: while ranges wait for their grants, the leader sent every host one entry for each of them, 20 times a second. At 300 hosts and 2,490 keyed upstreams that was 43 updates of 20 KB to each of 299 hosts in the first 5.4 s, 257 MB, and its processor time went into them instead of grants. By the test, the bytes grew with hosts to the power 2.90. Change: neighbouring ranges that become ready within 50 ms are one entry; a leader sends at most 2,000 updates a second in all (as before up to 100 hosts); an update that is based on no table leaves out the table, which no host could apply. Messages keep their form; earlier builds read them. Test bytesOfALeaderGrowNoFasterThanItsSite failed first.

--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -1,3 +1,4 @@
+#include "announcements.h"
 #include "leader.h"
 #include "notices.h"
 #include "reach_monitor.h"
@@ -21,8 +22,6 @@
 constexpr Millis kClearCheckInterval { 100 };
 // Assumed time for an update to reach the other hosts.
 constexpr Millis kAnnounceDelay { 15 };
-// Changes within this time are sent as one update. At a large site each update is sent to about 90 hosts.
-constexpr Millis kMinAnnounceInterval { 50 };
 // An upstream loses its ranges if connections to it have failed for this time and at least twice.
 constexpr Millis kUnreachableAfter { 600 };
 constexpr Millis kProbeInterval { 1000 };
@@ -366,18 +365,16 @@
 void RangeLeader::announceRanges()
 {
     const Millis now = monotonicNow();
-    if (!m_tableWritten || now < m_announcedAt + kMinAnnounceInterval)
+    if (!m_tableWritten || now < m_announcedAt + announceInterval(m_context.directory.hosts().size()))
         return;
     RangeUpdate update { m_service, m_tableRevision, m_tableRevision, {}, {} };
-    bool unchanged = m_announcedRevision == m_tableRevision;
     for (const auto& it : m_table.ranges) {
         const RangeState& state = m_rangeStates[keyOf(it)];
         if (!state.active)
             update.pending.push_back({ it.first, it.last, estimateReadyIn(it, state) });
     }
-    unchanged = unchanged && update.pending.size() == m_announcedPending.size()
-        && std::equal(m_announcedPending.begin(), m_announcedPending.end(), update.pending.begin(),
-            [](const auto& a, const auto& b) { return a.first == b.first && a.last == b.last; });
+    update.pending = joinPending(update.pending);
+    const bool unchanged = m_announcedRevision == m_tableRevision && hasSameSlots(m_announcedPending, update.pending);
     if (unchanged && (update.pending.empty() || now < m_announcedAt + kAnnounceInterval))
         return;
     if (m_announcedRevision != m_tableRevision) {
@@ -385,6 +382,7 @@
         update.changes = changesBetween(m_announcedRanges, m_table);
         m_announcedRanges = m_table.ranges;
     }
+    dropUnusable(update);
     m_announcedRevision = m_tableRevision;
     m_announcedPending = update.pending;
     m_announcedAt = now;
