Range leader: grants of large tables are renewed before they end, and found at less cost

Cause: the renewal interval grew with the ranges beyond the longest TTL: 12.5 s for 2,490 ranges on 0.2 of a core, with grants of 10 s at most. And each tick looked up the owner of every range that was due, though 24 grants may be in flight. Test grantsLastUntilTheNext failed first (96 ranges at 1 % of a core).

--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -1,6 +1,7 @@
 #include "leader.h"
 
 #include "cold_monitor.h"
+#include "grant_pace.h"
 #include "observe/events.h"
 
 #include <algorithm>
@@ -14,15 +15,6 @@
 constexpr std::size_t kMaxPacedRangesPerOwner = 4;
 constexpr Millis kQueryInterval { 300 };
 
-// Time between two grants of a range: renewalIntervalMs, or longer if the grant rate of a host with this processor time
-// does not allow that for all ranges.
-Millis renewalIntervalAt(const GatewayLimits& limits, std::size_t rangeCount, std::int64_t processorPercent)
-{
-    const std::int64_t grantsPerSecond = std::max<std::int64_t>(1, limits.ordersPerCore * processorPercent / 100);
-    const Millis paced(static_cast<std::int64_t>(rangeCount) * 1000 / grantsPerSecond);
-    return std::max(Millis(limits.renewalIntervalMs), paced);
-}
-
 } // namespace
 
 RangeLeader::RangeLeader(GatewayContext& context, ServiceName service)
@@ -75,14 +67,9 @@
     return renewalIntervalAt(m_context.settings.limits, rangeCount, m_context.settings.processorPercent);
 }
 
-// TTL of a host's grants under a table with this many ranges. It grows with the renewal interval, so that several
-// renewals fit into it, up to maxGrantTtlMs.
 Millis RangeLeader::grantTtlFor(std::size_t rangeCount, std::int64_t processorPercent) const
 {
-    const auto& limits = m_context.settings.limits;
-    const Millis interval = renewalIntervalAt(limits, rangeCount, processorPercent);
-    const Millis paced = limits.grantTtlMs * interval / limits.renewalIntervalMs;
-    return std::min(Millis(limits.maxGrantTtlMs), std::max(Millis(limits.grantTtlMs), paced));
+    return grantTtlAt(m_context.settings.limits, rangeCount, processorPercent);
 }
 
 // Processor time, in percent of one core, of the known host that has the least. Its grants last longest.
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -129,7 +129,8 @@
     void adoptTable(RangeTable, StoreRevision stored);
 
     void sendDueGrants();
-    bool isGrantDue(const Range&, RangeState&);
+    bool isGrantDue(const Range&, RangeState&, Millis now);
+    bool hasRoomForGrant(bool isRetry) const;
     void grantWithinLimits(const Range&, RangeState&);
     bool isBelowGrantLimits(const InstanceId&, bool isRetry) const;
     bool clearPreviousOwners(const Range&, RangeState&);
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -39,48 +39,63 @@
 
 // --- Orders ---
 
-// Sends the grants that are due, those that have been due for longest first.
+// Sends the grants that are due, those that have been due for longest first. With thousands of ranges most are due or
+// not on any tick, so what is looked up for each range is kept small, and the rest ends with the room in flight.
 void RangeLeader::sendDueGrants()
 {
-    std::vector<std::pair<Millis, const Range*>> due;
+    struct DueGrant {
+        Millis since;
+        const Range* range;
+        RangeState* state;
+    };
+    std::vector<DueGrant> due;
+    const Millis now = monotonicNow(), boot = bootNow();
     for (const auto& it : m_table.ranges) {
         RangeState& state = m_rangeStates[keyOf(it)];
-        if (state.active && state.confirmed && bootNow() >= state.grantedUntil)
+        if (state.active && state.confirmed && boot >= state.grantedUntil)
             state.active = false;
-        if (isGrantDue(it, state))
-            due.emplace_back(state.nextGrantAt, &it);
+        if (isGrantDue(it, state, now))
+            due.push_back({ state.nextGrantAt, &it, &state });
+    }
+    std::sort(due.begin(), due.end(),
+        [](const auto& a, const auto& b) { return std::tie(a.since, a.range) < std::tie(b.since, b.range); });
+    for (const auto& it : due) {
+        if (!hasRoomForGrant(false) && !hasRoomForGrant(true))
+            return;
+        grantWithinLimits(*it.range, *it.state);
     }
-    std::sort(due.begin(), due.end());
-    for (const auto& [dueSince, range] : due)
-        grantWithinLimits(*range, m_rangeStates[keyOf(*range)]);
 }
 
 void RangeLeader::grantWithinLimits(const Range& range, RangeState& state)
 {
+    if (!isBelowGrantLimits(range.owner, state.lastGrantFailed))
+        return;
     const InstanceEntry* owner = m_context.directory.findInstance(range.owner);
-    if (owner && ownPauseLeft(m_context, range.owner, monotonicNow()) == Millis(0)
-        && isBelowGrantLimits(range.owner, state.lastGrantFailed))
+    if (owner && !owner->entryGone && ownPauseLeft(m_context, range.owner, monotonicNow()) == Millis(0))
         sendGrant(range, state, owner->instance);
 }
 
-bool RangeLeader::isGrantDue(const Range& range, RangeState& state)
+// Whether it is time to grant a range that no other upstream may hold. Also advances the clearing of the range.
+bool RangeLeader::isGrantDue(const Range& range, RangeState& state, Millis now)
 {
-    if (!clearPreviousOwners(range, state))
-        return false;
-    const InstanceEntry* owner = m_context.directory.findInstance(range.owner);
-    return owner && !owner->entryGone && !state.granting && !state.fenceOutdated && monotonicNow() >= state.nextGrantAt;
+    return clearPreviousOwners(range, state) && !state.granting && !state.fenceOutdated && now >= state.nextGrantAt;
 }
 
 // Retries have a limit of their own, so that the upstreams of a failed rack do not delay the renewals of the others.
-bool RangeLeader::isBelowGrantLimits(const InstanceId& owner, bool isRetry) const
+bool RangeLeader::hasRoomForGrant(bool isRetry) const
 {
     const auto percent = static_cast<std::size_t>(m_context.settings.processorPercent);
     const std::size_t maxGrants = std::max(kMinGrantsInFlightLimit, kGrantsInFlightPerCore * percent / 100);
+    return isRetry ? m_retriesInFlight < maxGrants / kRetryLimitDivisor
+                   : m_grantsInFlight - m_retriesInFlight < maxGrants;
+}
+
+bool RangeLeader::isBelowGrantLimits(const InstanceId& owner, bool isRetry) const
+{
     const auto atOwner = m_grantsInFlightByOwner.find(owner);
     if (atOwner != m_grantsInFlightByOwner.end() && atOwner->second >= kMaxGrantsInFlightPerOwner)
         return false;
-    return isRetry ? m_retriesInFlight < maxGrants / kRetryLimitDivisor
-                   : m_grantsInFlight - m_retriesInFlight < maxGrants;
+    return hasRoomForGrant(isRetry);
 }
 
 // Advances the clearing of all previous owners. Returns true once none of them can have a valid grant for the range.
@@ -174,7 +189,7 @@
     if (!result.handover.empty())
         state.handover = result.handover;
     const Range* range = findRange(m_table, { std::get<0>(key) });
-    if (range && keyOf(*range) == key && mayRenew() && isGrantDue(*range, state))
+    if (range && keyOf(*range) == key && mayRenew() && isGrantDue(*range, state, monotonicNow()))
         grantWithinLimits(*range, state);
 }
 
--- a/tests/announcements_test.cpp
+++ b/tests/announcements_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/announcements.h"
+#include "gateway/grant_pace.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -93,4 +94,15 @@
     BOOST_TEST(update.changes.ranges.size() == 1);
 }
 
+RC_BOOST_PROP(grantsLastUntilTheNext, ())
+{
+    GatewayLimits limits;
+    for (const auto& it : gatewayOptions())
+        limits.*it.field = it.defaultValue;
+    const auto ranges = *rc::gen::inRange<std::size_t>(1, 20000);
+    const auto percent = *rc::gen::inRange<std::int64_t>(1, 101);
+    const Millis interval = renewalIntervalAt(limits, ranges, percent);
+    RC_ASSERT(interval + Millis(limits.orderTimeoutMs) < grantTtlAt(limits, ranges, percent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
