Watcher: a read of the store is not sent on, and a host that starts chooses the watching host before it sends

Cause: a host that starts knows no other one until its first read, took itself for the watching host of its data centre, and sent that read, the whole copy, to all others. The bound of cold upstreams was not the cause: in the first seconds it held 8 to 30 of 228 to 347 slots of the pooled queues that waited; its questions were silent for the same links.

Change: of a read only the revision is sent. And a host whose first read names another watching host sends nothing.

--- a/src/gateway/watcher.cpp
+++ b/src/gateway/watcher.cpp
@@ -3,6 +3,7 @@
 #include "observe/events.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pistachiospur {
 
@@ -40,8 +41,9 @@
     : m_context(context)
     , m_catchUp(catchUp)
 {
+    // Until its first read a host knows of no other one and takes itself for the watching host.
     m_context.directory.onWatchAnswer([this](const ChangeBatch& batch) {
-        if (isSelf(m_context, m_watchHost))
+        if (isSelf(m_context, m_watchHost) && isSelf(m_context, chooseNow(monotonicNow())))
             send(batch);
     });
 }
@@ -73,9 +75,19 @@
     return std::any_of(leaders.begin(), leaders.end(), [&](const auto& it) { return it.second.host == host; });
 }
 
-void StoreWatcher::tick()
+ChangeBatch relayedPart(const ChangeBatch& batch)
+{
+    ChangeBatch part { batch.fromRead ? batch.to : batch.from, batch.to, {} };
+    if (batch.fromRead)
+        return part;
+    std::copy_if(batch.changes.begin(), batch.changes.end(), std::back_inserter(part.changes),
+        [](const KeyChange& it) { return !isTableKey(it.key); });
+    return part;
+}
+
+// The host that watches for this data centre, as far as this host knows now.
+HostName StoreWatcher::chooseNow(Millis now) const
 {
-    const Millis now = monotonicNow();
     const auto& dataCentre = m_context.settings.dataCentre;
     const auto& order = rankedHosts(m_context, "watcher/" + dataCentre, dataCentre, HostOrder::fastestFirst);
     const auto isUsable = [&](const HostName& host) { return canTakeWork(m_context, host, now); };
@@ -84,8 +96,13 @@
         order, [&](const HostName& host) { return isUsable(host) && !leadsRanges(host); }, m_failedUntil, now);
     if (watchHost.empty())
         watchHost = chooseWatchHost(order, isUsable, m_failedUntil, now);
-    if (watchHost.empty())
-        watchHost = m_context.settings.host;
+    return watchHost.empty() ? m_context.settings.host : watchHost;
+}
+
+void StoreWatcher::tick()
+{
+    const Millis now = monotonicNow();
+    const HostName watchHost = chooseNow(now);
     if (watchHost != m_watchHost) {
         m_watchHost = watchHost;
         m_watchHostSince = m_lastHeardAt = now;
@@ -180,12 +197,8 @@
 {
     m_nextHeartbeatAt = monotonicNow() + partOfChangeTime(m_context, kHeartbeatIntervalPercent);
     const auto& directory = m_context.directory;
-    WatchUpdate update { { batch.from, batch.to, {}, batch.fromRead }, {}, false, directory.age(),
-        directory.lapseGrace(), bootNow() - directory.age() };
-    for (const auto& it : batch.changes) {
-        if (!isTableKey(it.key))
-            update.batch.changes.push_back(it);
-    }
+    WatchUpdate update { relayedPart(batch), {}, false, directory.age(), directory.lapseGrace(),
+        bootNow() - directory.age() };
     for (const auto& [service, stored] : directory.tables())
         update.tables.emplace_back(service, stored.revision);
     m_context.hub.send(followers(), update);
--- a/src/gateway/watcher.h
+++ b/src/gateway/watcher.h
@@ -25,6 +25,12 @@
 // `readTimeout`. Whatever delays the watching host, or the messages from it, then delays no other host beyond that.
 bool isOwnReadDue(const OwnReadTimes&, Millis changeTime, Millis readTimeout, Millis now);
 
+// What the watching host sends to its data centre of an answer of the store. Of a read only the revision: a copy that
+// is behind cannot be brought up to date by what changed between two states (hasGap()), so its host asks for what it
+// lacks. A read whose content went to every host filled the links of small hosts for seconds when all of them started
+// at once.
+ChangeBatch relayedPart(const ChangeBatch&);
+
 class StoreWatcher {
 public:
     StoreWatcher(GatewayContext&, CatchUp&);
@@ -37,6 +43,7 @@
 private:
     bool isStoreAnswering() const;
     bool leadsRanges(const HostName&) const;
+    HostName chooseNow(Millis now) const;
     void noteAge();
     void follow(Millis now);
     void watch(Millis now);
--- a/tests/catch_up_test.cpp
+++ b/tests/catch_up_test.cpp
@@ -134,6 +134,32 @@
     BOOST_TEST(site.knowsVersion(0, 3));
 }
 
+// Guards against small hosts whose links are full for seconds, because each host that starts, and knows of no other one
+// until its first read, takes itself for the watching host and sends that read to all others.
+BOOST_AUTO_TEST_CASE(hostThatStartsSendsNobodyItsCopy)
+{
+    constexpr std::size_t kCopyBytes = 100000;
+    Site site;
+    site.store.put("op/evacuate/nowhere", std::string(kCopyBytes, 'x'));
+    for (std::size_t n = 0; n < 4; ++n) {
+        site.addHostIn("z1", 100, 1000000);
+        BOOST_REQUIRE(site.waitUntilServed(n));
+    }
+    double bytes = 0;
+    for (const auto& admin : site.adminEndpoints) {
+        HttpCall call;
+        call.method = "GET";
+        call.endpoint = admin;
+        call.target = "/metrics";
+        const std::string text = site.sendCall(std::move(call)).body;
+        const auto at = text.find("pistachiospur_peer_bytes_total{kind=\"watch_update\"} ");
+        if (at != std::string::npos)
+            bytes += std::stod(text.substr(text.find(' ', at)));
+    }
+    BOOST_TEST(bytes > 0);
+    BOOST_TEST(bytes < static_cast<double>(kCopyBytes));
+}
+
 // Guards against a range leader whose watch fails under the work of leading, and with it that of its data centre.
 BOOST_AUTO_TEST_CASE(rangeLeaderDoesNotWatchWhileAnotherHostCan)
 {
--- a/tests/watcher_test.cpp
+++ b/tests/watcher_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/watcher.h"
 
+#include "store/versions.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace pistachiospur;
@@ -88,3 +90,37 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AnswersThatAreSentOn)
+
+namespace {
+
+constexpr StoreRevision kFrom { 100 }, kTo { 120 };
+const std::vector<KeyChange> kChanges { { "servers/a", "new", StoreRevision { 110 } },
+    { "servers/b", std::nullopt, kTo } };
+
+} // namespace
+
+// Guards against small hosts whose links are full for seconds, because each host that starts sends all others the copy
+// that it has read.
+BOOST_AUTO_TEST_CASE(readIsNotSentOnAndTellsEachCopyWhatItLacks)
+{
+    const ChangeBatch read { kFrom, kTo, kChanges, true };
+    const ChangeBatch sent = relayedPart(read);
+    BOOST_TEST(sent.changes.empty());
+    for (const std::uint64_t revision : { 0, 90, 100, 110, 119, 120, 130 }) {
+        KeyVersions known;
+        known.completeTo = StoreRevision { revision };
+        BOOST_TEST(hasGap(known, sent) == hasGap(known, read), "copy at " << revision);
+        BOOST_TEST(hasGap(known, sent) == (revision < kTo.value), "copy at " << revision);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(watchedChangesAreSentOn)
+{
+    const ChangeBatch sent = relayedPart({ kFrom, kTo, kChanges });
+    BOOST_TEST(sent.changes.size() == 2u);
+    BOOST_TEST((sent.from == kFrom && sent.to == kTo && !sent.fromRead));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
