Range leader: slots move only to an upstream that has just answered

Change: a planned move is made only if its target answered within 100 ms. Otherwise the target is asked (POST /release of the first slot it is to get, which it does not hold, over a new connection: it changes nothing), the owner goes on, and the plan is made again 20 ms after the answer. A target that does not answer within order_timeout_ms gets no slots for a second. The decision is in ranges/targets, free of time and network. The first grant of a move uses a new connection, so that a failure to connect proves that nothing was sent. No message and no record changes; no setting. A release only takes slots from an upstream that does not own them, so models/ranges.pml has no new step and was not run again for this.

Test first: ReachOfOthers/slotsAreServedWhileAnUpstreamThatIsToGetSomeHangs. Ranges/movesToUpstreamsThatHaveNotJustAnsweredAreHeldBack is the unit test.

--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -5,6 +5,7 @@
 #include "ranges/ledger.h"
 #include "ranges/owner_speeds.h"
 #include "ranges/planner.h"
+#include "ranges/targets.h"
 
 #include <map>
 
@@ -13,6 +14,7 @@
 // table only while its lease is valid, and goes on renewing grants for outageMs after that.
 //
 // How a range moves to a new owner:
+//   asked      the new owner shows that it answers; until then nothing changes
 //   written    the table names the new owner, its fencing token and the previous owners
 //   clearing   each previous owner is asked to release the range, or the leader waits until all its grants have expired
 //   granting   the new owner is sent a grant, with the handover data from the release
@@ -120,6 +122,8 @@
     std::vector<Range> initialRanges();
     std::set<std::uint32_t> settleGrants(std::vector<Range>&, bool& changed);
     std::vector<Range> nextRanges(bool& changed);
+    std::vector<Move> planAnsweredMoves(const std::vector<Range>&, const std::set<std::uint32_t>& fixed);
+    void askTarget(const Move&);
     void allowForUnknownGrants(std::vector<Range>&) const;
     bool hasCleared(const Range&) const;
     void writeFirstTable();
@@ -202,6 +206,7 @@
     std::vector<Range> m_announcedRanges; // at that revision
 
     PlanMemory m_plans; // loads, hot slots and past moves
+    Targets m_targets; // of planned moves
     OwnerSpeeds m_ownerSpeeds;
 };
 
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -25,6 +25,8 @@
 // An upstream loses its ranges if connections to it have failed for this time and at least twice.
 constexpr Millis kUnreachableAfter { 600 };
 constexpr Millis kProbeInterval { 1000 };
+// Answers of several upstreams that are to get slots are waited for together.
+constexpr Millis kAnswerWait { 20 };
 // A leader that stepped down because it was cut off does not stand for election for this time.
 constexpr Millis kCutOffPause { 4000 };
 // Limits on grants in flight, per processor core and per upstream. A new leader grants every range at once; without the
@@ -207,8 +209,8 @@
         { range.first, range.last, range.fence, ttl, state.confirmed ? "" : state.handover, orderText(order) });
     call.timeout = Millis(m_context.settings.limits.orderTimeoutMs);
     // A reused connection may be dead after a failure. With a new one, a failure to connect proves that the grant did
-    // not arrive.
-    call.freshConnection = state.lastGrantFailed;
+    // not arrive. The first grant of a move is worth one, since a range whose grant may have arrived waits for its end.
+    call.freshConnection = state.lastGrantFailed || (!state.confirmed && !range.previous.empty());
     m_context.http.start(
         std::move(call), [this, range, sent, upstream, begunAt = monotonicNow()](const HttpOutcome& outcome) {
             noteContact(m_context, upstream, outcome, begunAt, Millis(m_context.settings.limits.orderTimeoutMs));
@@ -264,6 +266,36 @@
                 { "last", range.last.value }, { "fence", textOf(range.fence) } });
 }
 
+// Asks the upstream that is to get slots to release the first of them, which it does not own: that changes nothing, and
+// shows whether it takes connections and answers.
+void RangeLeader::askTarget(const Move& move)
+{
+    const InstanceEntry* entry = m_context.directory.findInstance(move.to);
+    const Range* range = findRange(m_table, move.first);
+    if (!entry || entry->entryGone || !range || isAsked(m_targets, move.to)
+        || ownPauseLeft(m_context, move.to, monotonicNow()) > Millis(0))
+        return;
+    noteAsked(m_targets, move.to);
+    const ReleaseOrder order { move.first, move.first, range->fence, orderText(m_nextOrder++) };
+    HttpCall call = m_context.adapter.releaseCall(entry->instance, order);
+    const Millis timeout(m_context.settings.limits.orderTimeoutMs);
+    call.timeout = timeout;
+    m_context.http.start(std::move(call),
+        [this, upstream = entry->instance, id = order.id, timeout, begunAt = monotonicNow()](
+            const HttpOutcome& outcome) {
+            noteContact(m_context, upstream, outcome, begunAt, timeout);
+            takeOrderNotice(m_context, upstream.id, outcome, id);
+            const Millis now = monotonicNow();
+            const bool isAnswered = m_context.adapter.interpretRelease(outcome, id).verdict == OrderVerdict::done;
+            noteAnswer(m_targets, upstream.id, isAnswered, now);
+            if (isAnswered)
+                m_nextPlanAt = std::min(m_nextPlanAt, now + kAnswerWait);
+            else
+                logEvent(EventKind::state, "move_target_silent",
+                    { { "service", m_service }, { "upstream", upstream.id.name } });
+        });
+}
+
 // --- Unreachable upstreams ---
 
 // Counts only failures to connect. An order that was sent but not answered may still be carried out later.
--- a/src/gateway/planning.cpp
+++ b/src/gateway/planning.cpp
@@ -34,8 +34,9 @@
             || isUnreachable(entry.instance.id) || isEvacuated(m_context, entry.instance))
             continue;
         const double runMs = runMsOf(m_ownerSpeeds, entry.instance.id);
-        const bool mayReceive
-            = !failing.count(entry.instance.id) && !isFailing(m_context.reach, m_service, entry.instance.id);
+        const bool mayReceive = !failing.count(entry.instance.id)
+            && !isFailing(m_context.reach, m_service, entry.instance.id)
+            && !isSilent(m_targets, entry.instance.id, now);
         const double capacity = coldCapacity(m_context, entry, entry.instance.slots * 1000.0 / runMs);
         found.push_back({ entry.instance.id, capacity, mayReceive });
     }
@@ -100,27 +101,49 @@
     return fixed;
 }
 
-// The ranges to write next: without previous owners where the new owner has accepted a grant, with a new fencing token
-// where the owner has seen a higher one, and with the moves of a new plan. Sets `changed` if they differ from the
-// table.
-std::vector<Range> RangeLeader::nextRanges(bool& changed)
+// The moves to make now. Those whose new owner has not just answered wait for a later plan, which begins soon after it
+// has answered.
+std::vector<Move> RangeLeader::planAnsweredMoves(
+    const std::vector<Range>& ranges, const std::set<std::uint32_t>& fixedRanges)
 {
-    std::vector<Range> ranges = m_table.ranges;
-    std::set<std::uint32_t> fixed = settleGrants(ranges, changed);
+    const Millis now = monotonicNow();
+    forgetOldAnswers(m_targets, now);
+    std::set<std::uint32_t> fixed = fixedRanges;
     auto eligible = eligibleOwners();
     addEvacuatedOwners(eligible, fixed, ranges, lastingLoads(m_plans.rates));
     BalancePolicy policy;
     policy.maxMoves = std::max(policy.maxMoves, static_cast<unsigned>(eligible.size() / kOwnersPerMove));
     const bool isJudged = m_context.settings.limits.judgedMoves > 0;
-    const auto moves = isJudged ? planNextMoves(m_plans, ranges, eligible, fixed, policy, {}, monotonicNow())
-                                : planMoves(ranges, eligible, recentLoads(m_plans.rates), fixed, policy);
-    for (const auto& it : moves) {
+    const HotSlots hotBefore = m_plans.hot;
+    auto moves = isJudged ? planNextMoves(m_plans, ranges, eligible, fixed, policy, {}, now)
+                          : planMoves(ranges, eligible, recentLoads(m_plans.rates), fixed, policy);
+    const auto mustWait = [this](const Move& it) {
         const Range* current = findRange(m_table, it.first);
-        if (current && awaitsProof(*current))
-            continue;
+        return current && awaitsProof(*current);
+    };
+    moves.erase(std::remove_if(moves.begin(), moves.end(), mustWait), moves.end());
+    for (const auto& it : holdBack(moves, m_targets, now)) {
+        askTarget(it);
+        for (auto hot = m_plans.hot.lower_bound(it.first.value);
+             hot != m_plans.hot.end() && hot->first <= it.last.value; ++hot) {
+            const auto before = hotBefore.find(hot->first);
+            hot->second.settled = before != hotBefore.end() && before->second.settled;
+        }
+    }
+    return moves;
+}
+
+// The ranges to write next: without previous owners where the new owner has accepted a grant, with a new fencing token
+// where the owner has seen a higher one, and with the moves of a new plan. Sets `changed` if they differ from the
+// table.
+std::vector<Range> RangeLeader::nextRanges(bool& changed)
+{
+    std::vector<Range> ranges = m_table.ranges;
+    std::set<std::uint32_t> fixed = settleGrants(ranges, changed);
+    for (const auto& it : planAnsweredMoves(ranges, fixed)) {
         logEvent(EventKind::state, "move",
             { { "service", m_service }, { "first", it.first.value }, { "last", it.last.value }, { "to", it.to.name } });
-        if (isJudged)
+        if (m_context.settings.limits.judgedMoves > 0)
             noteMove(m_plans.history, ranges, it.first, it.last, monotonicNow());
         m_context.metrics.count("pistachiospur_slot_moves_total");
         m_context.metrics.count("pistachiospur_moved_slots_total", {}, it.last.value - it.first.value + 1);
--- a/tests/cut_fixture.h
+++ b/tests/cut_fixture.h
@@ -276,6 +276,13 @@
         }
     }
 
+    // The number of hosts that have read an upstream's entry.
+    std::size_t forwardersTo(const RangeUpstream& upstream) const
+    {
+        return static_cast<std::size_t>(std::count_if(forwarders.begin(), forwarders.end(),
+            [port = portOf(upstream)](const auto& it) { return it.first.second == port; }));
+    }
+
     // The connections that a host has opened to an upstream.
     unsigned connections(std::size_t host, const RangeUpstream& upstream) const
     {
--- a/tests/ranges_test.cpp
+++ b/tests/ranges_test.cpp
@@ -1,5 +1,6 @@
 #include "ranges/balance.h"
 #include "ranges/ledger.h"
+#include "ranges/targets.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -291,4 +292,29 @@
     }
 }
 
+// Guards against slots that are taken from their owner for an upstream that does not answer.
+BOOST_AUTO_TEST_CASE(movesToUpstreamsThatHaveNotJustAnsweredAreHeldBack)
+{
+    const Move toSilent { { 0 }, { 9 }, instance(0) }, toAnswering { { 10 }, { 19 }, instance(1) };
+    Targets targets;
+    std::vector<Move> moves { toSilent, toAnswering };
+    BOOST_TEST(holdBack(moves, targets, Millis(0)).size() == 2u);
+    BOOST_TEST(moves.empty());
+    noteAsked(targets, instance(0));
+    BOOST_TEST(isAsked(targets, instance(0)));
+    noteAnswer(targets, instance(0), false, Millis(400));
+    BOOST_TEST(!isAsked(targets, instance(0)));
+    noteAnswer(targets, instance(1), true, Millis(400));
+    moves = { toSilent, toAnswering };
+    BOOST_TEST((holdBack(moves, targets, Millis(400) + kMaxAnswerAge) == std::vector<Move> { toSilent }));
+    BOOST_TEST((moves == std::vector<Move> { toAnswering }));
+    BOOST_TEST(holdBack(moves, targets, Millis(401) + kMaxAnswerAge).size() == 1u);
+    BOOST_TEST(isSilent(targets, instance(0), Millis(399) + kSilenceMemory));
+    BOOST_TEST(!isSilent(targets, instance(1), Millis(401)));
+    noteAnswer(targets, instance(0), true, Millis(500));
+    BOOST_TEST(!isSilent(targets, instance(0), Millis(500)));
+    forgetOldAnswers(targets, Millis(501) + kMaxAnswerAge);
+    BOOST_TEST(targets.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -382,6 +382,34 @@
 // Guards against hosts that take one upstream that hangs for a cut of their own.
 BOOST_AUTO_TEST_CASE(slotsOfOtherUpstreamsAreServedWhileOneHangs) { checkLossOfOneUpstream(Cut::silent); }
 
+// Guards against slots without an owner because they go to an upstream that takes no connections. Nothing shows that
+// before the first one, since the upstream is new.
+BOOST_AUTO_TEST_CASE(slotsAreServedWhileAnUpstreamThatIsToGetSomeHangs)
+{
+    CutSite site;
+    BOOST_REQUIRE(isServedEverywhere(site));
+    Traffic traffic(site);
+    traffic.run(Millis(500));
+    bool isNamedOwner = false;
+    Timer watch(
+        [&] { isNamedOwner |= site.store.value("pistachiospur/ranges/keyed").find("k9") != std::string::npos; });
+    watch.every(Millis(5));
+    const Millis addedAt = monotonicNow();
+    const RangeUpstream& added = site.add("keyed", "k9");
+    BOOST_REQUIRE(site.runLoopUntil([&] { return site.forwardersTo(added) > 0; }));
+    site.cutUpstream(added, Cut::silent);
+    BOOST_REQUIRE(site.runLoopUntil([&] { return site.forwardersTo(added) == site.gateways.size(); }));
+    site.cutUpstream(added, Cut::silent);
+    traffic.run(Millis(3500));
+    traffic.stop();
+    BOOST_TEST(site.runLoopUntil([&] { return traffic.isOver(); }));
+    const Share served = shareOf(traffic, {}, true, addedAt, Millis::max());
+    BOOST_TEST_MESSAGE("served " << served.served << " of " << served.sent);
+    BOOST_TEST(served.value() >= kMinServedShare);
+    BOOST_TEST(!isNamedOwner);
+    checkRuns(site, traffic);
+}
+
 // Guards against callers who wait for their deadline, or do not learn when to come back, while connections of all hosts
 // hang.
 BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceWhileConnectionsOfAllHostsHang) { checkCutOfAll(Cut::silent); }
