Range leader: answers of targets bring about one more plan, not one each

Cause: each answer brought the next plan forward, and that plan asked further targets, so plans and their moves came faster than once in kPlanInterval.

Change: only the answers to the questions of one plan bring it forward, once, and the plan that follows answers asks nobody.

--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -281,16 +281,16 @@
     const Millis timeout(m_context.settings.limits.orderTimeoutMs);
     call.timeout = timeout;
     m_context.http.start(std::move(call),
-        [this, upstream = entry->instance, id = order.id, timeout, begunAt = monotonicNow()](
+        [this, upstream = entry->instance, id = order.id, timeout, begunAt = monotonicNow(), nextPlanAt = m_nextPlanAt](
             const HttpOutcome& outcome) {
             noteContact(m_context, upstream, outcome, begunAt, timeout);
             takeOrderNotice(m_context, upstream.id, outcome, id);
             const Millis now = monotonicNow();
             const bool isAnswered = m_context.adapter.interpretRelease(outcome, id).verdict == OrderVerdict::done;
             noteAnswer(m_targets, upstream.id, isAnswered, now);
-            if (isAnswered)
+            if (isAnswered && m_nextPlanAt == nextPlanAt)
                 m_nextPlanAt = std::min(m_nextPlanAt, now + kAnswerWait);
-            else
+            if (!isAnswered)
                 logEvent(EventKind::state, "move_target_silent",
                     { { "service", m_service }, { "upstream", upstream.id.name } });
         });
--- a/src/gateway/planning.cpp
+++ b/src/gateway/planning.cpp
@@ -122,8 +122,12 @@
         return current && awaitsProof(*current);
     };
     moves.erase(std::remove_if(moves.begin(), moves.end(), mustWait), moves.end());
+    // The plan that follows answers asks nobody, so that answers cause no more plans than one.
+    const bool followsAnswers = std::any_of(m_targets.begin(), m_targets.end(),
+        [now](const auto& it) { return it.second.answeredAt && now <= *it.second.answeredAt + kMaxAnswerAge; });
     for (const auto& it : holdBack(moves, m_targets, now)) {
-        askTarget(it);
+        if (!followsAnswers)
+            askTarget(it);
         for (auto hot = m_plans.hot.lower_bound(it.first.value);
              hot != m_plans.hot.end() && hot->first <= it.last.value; ++hot) {
             const auto before = hotBefore.find(hot->first);
