Range leader: a table write concerns only the start that sent it

Cause: onTableWritten() did not ask which leadership a write belonged to. The time-out of the old write filled m_unsettledText, which becomeLeader() had cleared, and plan() repeated the text as the first table of the new leadership, without writeFirstTable() and loadPreviousLeaders(). With an empty ledger and no TTL of earlier grants, those counted as expired 550 ms after the election. Evidence, log of the leader: "leading" at 431.951, "table_write_failed" of the write before at 432.453, "table" with first_of_keeper at 432.464, "range_cleared" "expired" at 432.515, while the last grants ran until about 434.1.

Change: each start of a leader has a number that its table writes carry; a start abandons what is in flight or unsettled. That is safe: the store can carry the old write out only before the new start's first write, which then conflicts and begins from that table.

--- a/src/gateway/election.cpp
+++ b/src/gateway/election.cpp
@@ -152,7 +152,7 @@
     m_wantsLease = true;
     m_recordRevision = version;
     m_leaderSince = bootNow();
-    m_unsettledText.clear();
+    abandonTableWrite();
     m_storedTable.reset();
     logEvent(EventKind::process, "leading",
         { { "service", m_service }, { "keeper_revision", textOf(version) }, { "carries_over", carriesOver } });
@@ -166,6 +166,7 @@
 // before it stopped are valid for one more TTL.
 void RangeLeader::startAnew()
 {
+    abandonTableWrite();
     m_carriesOver = false;
     m_leaseValidUntil = m_lease.validUntil();
     m_nextQueryAt = Millis(0);
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -303,11 +303,27 @@
     const ConditionalWrite write { { { claimKey(m_service, m_claim), m_recordRevision },
                                        { tableKey(m_service), expected } },
         { { tableKey(m_service), text, kNoLease } } };
-    m_context.directory.store().write(write, [this, text](const WriteResult& result) { onTableWritten(text, result); });
+    m_context.directory.store().write(
+        write, [this, start = m_startCount, text](const WriteResult& result) { onTableWritten(start, text, result); });
 }
 
-void RangeLeader::onTableWritten(const std::string& text, const WriteResult& result)
+// Takes no further part in a table write that is in flight or has an unknown outcome: its text rests on what this host
+// knew before, without the grants that earlier leaders may have sent since. The store can still carry it out before the
+// first write of the new start, which then conflicts and begins from that table. Afterwards it cannot, because the
+// claim is gone or the table has another revision.
+void RangeLeader::abandonTableWrite()
 {
+    ++m_startCount;
+    m_writing = false;
+    m_unsettledText.clear();
+}
+
+void RangeLeader::onTableWritten(std::uint64_t start, const std::string& text, const WriteResult& result)
+{
+    if (start != m_startCount)
+        return logEvent(EventKind::state, "table_write_outdated",
+            { { "service", m_service }, { "leading", m_isLeader },
+                { "written", std::holds_alternative<Written>(result) } });
     m_writing = false;
     if (!m_isLeader)
         return;
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -128,7 +128,8 @@
     bool hasCleared(const Range&) const;
     void writeFirstTable();
     void writeTable(std::vector<Range>);
-    void onTableWritten(const std::string& text, const WriteResult&);
+    void abandonTableWrite();
+    void onTableWritten(std::uint64_t start, const std::string& text, const WriteResult&);
     void resolveConflict(const std::string& text, const WriteConflict&);
     void adoptTable(RangeTable, StoreRevision stored);
 
@@ -194,8 +195,10 @@
     StoreRevision m_loadedRevision; // of the table that named them
     Millis m_earlierGrantTtl {}; // TTL of the previous leaders' grants
     Millis m_nextQueryAt {}; // next announcement to previous leaders that have not confirmed that they stopped
-    bool m_writing = false;
-    std::string m_unsettledText; // of a table write whose outcome is unknown
+    // How often this host has begun to lead or started anew. A table write concerns only the start that sent it.
+    std::uint64_t m_startCount = 0;
+    bool m_writing = false; // a table write of the present start is in flight
+    std::string m_unsettledText; // of a table write of the present start whose outcome is unknown
     std::uint64_t m_writeCount = 0;
     Millis m_nextPlanAt {};
     std::size_t m_initialOwners = 0; // number of eligible owners before there is a table
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -5,7 +5,7 @@
 #include <list>
 #include <random>
 
-// Tests of upstreams and hosts that start again, over real sockets.
+// Tests of upstreams and hosts that start again, and of a leader that is elected again, over real sockets.
 using namespace pistachiospur;
 using namespace pistachiospur::standin;
 
@@ -47,6 +47,18 @@
     return static_cast<std::size_t>(record["host"].get<std::string>().back() - '0');
 }
 
+// Ends the lease that the leader record is bound to, as the store does when no renewal has arrived in time.
+void endLeaderLease(Fixture& site)
+{
+    const Json record = Json::parse(site.store.value("pistachiospur/keepers/keyed"), nullptr, false);
+    BOOST_REQUIRE(record.is_object());
+    HttpCall call;
+    call.method = "DELETE";
+    call.endpoint = site.store.endpoint();
+    call.target = "/kv-lease-end/" + std::to_string(record["lease"].get<std::uint64_t>());
+    BOOST_REQUIRE(site.sendCall(std::move(call)).status == 200);
+}
+
 // A leader that was elected, wrote the table and then lost its way to the store and to the other hosts, but not to the
 // upstreams: goes on renewing what it granted, as it may for outage_ms after the end of its lease. Its host itself is
 // ended before. Its last lease is taken to end when another leader is elected, which is the latest possible.
@@ -352,6 +364,29 @@
     BOOST_TEST((monotonicNow() - *releasedAt).count() < 1000); // a grant lasts 2.5 s
 }
 
+// Guards against two holders of a slot: a leader whose lease ended while a table write had no answer was elected again,
+// repeated that write as its first one, and gave on slots of an upstream that its forgotten grants still held.
+BOOST_AUTO_TEST_CASE(slotsHaveOneHolderIfALeaderIsElectedAgainDuringATableWrite)
+{
+    Fixture site(1);
+    BOOST_REQUIRE(site.waitUntilServed());
+    RangeUpstream* owner = site.holder(kSlot);
+    BOOST_REQUIRE(owner);
+    RangeUpstream& moved = *site.upstreams[owner == site.upstreams[0].get() ? 1 : 0];
+    bool isWriteHeld = false;
+    site.store.holds = [&](const HttpRequest& request) {
+        const bool isTableWrite
+            = request.path == "/kv-txn" && request.body.find("pistachiospur/ranges/keyed") != std::string::npos;
+        return isTableWrite && !std::exchange(isWriteHeld, true);
+    };
+    site.store.put("servers/" + moved.name(), moved.entry("draining"));
+    BOOST_REQUIRE(site.runLoopUntil([&] { return isWriteHeld; }));
+    site.store.remove("servers/" + owner->name()); // it serves on
+    endLeaderLease(site);
+    BOOST_TEST(!hasTwoHoldersUntilMoved(site, *owner));
+    BOOST_TEST(site.store.heldCalls() == 1u);
+}
+
 // Guards against two holders of a slot in any order of restarts, late grants, losses of hosts and outages of the store.
 // More seeds: PISTACHIOSPUR_RESTART_SEEDS="FIRST COUNT".
 BOOST_AUTO_TEST_CASE(slotsHaveOneHolderUnderRandomRestarts)
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway_fixture.h"
 
+#include <absl/strings/escaping.h>
+
 // Tests of a site whose store comes back from an older copy of itself: what the hosts wrote since is lost, and the
 // store's revisions are given out again.
 using namespace pistachiospur;
@@ -92,6 +94,20 @@
     }
 };
 
+// The text of the range table that a call to the store writes; nothing if it writes none.
+std::optional<std::string> writtenTable(const HttpRequest& request)
+{
+    if (request.path != "/kv-txn")
+        return std::nullopt;
+    const Json body = Json::parse(request.body);
+    for (const auto& it : body["puts"]) {
+        std::string text;
+        if (it["key"] == "pistachiospur/ranges/keyed" && absl::Base64Unescape(it["value"].get<std::string>(), &text))
+            return text;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RestoredStore)
@@ -164,6 +180,33 @@
     BOOST_TEST(site.fencesRise());
 }
 
+// Guards against slots that are given on while grants of an unknown leader may be valid: a leader whose right of the
+// earlier era had ended repeated a table write of before, which waits for no such grants.
+BOOST_AUTO_TEST_CASE(leaderThatStartsAnewDuringATableWriteWaitsForGrantsThatItCannotKnow)
+{
+    Fixture site(1);
+    BOOST_REQUIRE(site.waitUntilServed());
+    site.store.saveCopy();
+    site.store.fault = StoreFault::silent;
+    site.runLoopUntil([] { return false; }, Millis(1500)); // longer than the leader's lease
+    site.store.fault = StoreFault::none;
+    std::vector<std::string> tables; // that the leader has tried to write, without an answer
+    site.store.holds = [&](const HttpRequest& request) {
+        const auto table = writtenTable(request);
+        if (table)
+            tables.push_back(*table);
+        return table.has_value();
+    };
+    site.store.restoreCopy(true);
+    BOOST_REQUIRE(site.runLoopUntil([&] { return !tables.empty(); }));
+    BOOST_REQUIRE(site.runLoopUntil([&] { return tables.back() != tables.front(); })); // its right has ended
+    const auto table = decodeRangeTable(tables.back(), {});
+    BOOST_REQUIRE(table.has_value());
+    BOOST_TEST((table->unknownGrantsFor > Millis(0)));
+    for (const auto& it : table->ranges)
+        BOOST_TEST(hasUnknownOwner(it));
+}
+
 // Guards against slots that their owner has to give up although nobody else may get them yet.
 BOOST_AUTO_TEST_CASE(slotsStayWithTheirOwnersWhileUnknownGrantsMayBeValid)
 {
