Frontend: an upstream's failure is no promise that the request has not run

Cause: what an upstream states of a run is in a header, what the router states to its callers is in the status, and an answer was passed on without a look at what its status says there. Evidence: "request" lines of these orders have outcome "answered", status 503, tries 0; no host wrote "upstream_failed".

Change: where answers leave for callers, one whose status is a promise (408, 421, 429, 503) becomes a 502 without the upstream's headers and body, unless the request is idempotent. A stated refusal arrives there as a refusal and is not concerned. What a coordinator learns from the answer is as before.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -85,6 +85,8 @@
     CallerMetadata (*readCallerMetadata)(const HttpRequest&);
     HttpResponse (*answerResponse)(Answer);
     HttpResponse (*refusalResponse)(const Refusal&);
+    // Whether callers take this status for a promise that their request has not run and will not run.
+    bool (*promisesNotRun)(int status);
 
     HttpCall (*grantCall)(const UpstreamInstance&, const GrantOrder&);
     // An answer that bears another order's id proves nothing: an upstream may answer an order twice, the second time on
--- a/src/gateway/frontend.cpp
+++ b/src/gateway/frontend.cpp
@@ -422,7 +422,7 @@
         noteFailedConnection(pending);
     pending.coordinator.clear();
     if (!refusal)
-        return complete(id, std::move(reply));
+        return complete(id, withoutFalsePromise(pending.request, std::move(reply)));
     pending.state = State::delayed;
     ++pending.refusedAttempts;
     if (refusal->ran == Ran::unknown)
@@ -526,6 +526,18 @@
     onDeadline(id);
 }
 
+// Replaces an upstream's answer that its caller would take for a promise that the request has not run. The upstream has
+// not stated that, or a refusal would have arrived here, so the request may have run. Callers of idempotent requests
+// get the answer as it is, since they lose nothing by sending the request again.
+Reply GatewayFrontend::withoutFalsePromise(const Request& request, Reply reply) const
+{
+    const auto* answer = std::get_if<Answer>(&reply);
+    if (!answer || request.idempotent || !m_context.adapter.promisesNotRun(answer->status))
+        return reply;
+    logEvent(EventKind::request, "answer_withheld", { { "request", request.id }, { "status", answer->status } });
+    return maybeRun(RefusalReason::upstreamBroken);
+}
+
 void GatewayFrontend::complete(RequestId id, Reply reply)
 {
     const auto pending = std::move(m_pending.at(id));
--- a/src/gateway/frontend.h
+++ b/src/gateway/frontend.h
@@ -98,6 +98,7 @@
     void onDeadline(RequestId);
     void abandon(RequestId, RefusalReason ifSent, RefusalReason ifNotSent);
     void onCallerGone(RequestId);
+    Reply withoutFalsePromise(const Request&, Reply) const;
     void complete(RequestId, Reply);
     void respond(const Responder&, HttpResponse);
     RetryWindowPolicy retryWindowPolicy() const;
--- a/tests/faulty_upstream_test.cpp
+++ b/tests/faulty_upstream_test.cpp
@@ -56,6 +56,34 @@
     }
 }
 
+// Guards against an order that runs twice: an upstream failed it after it had run, with a status that promises its
+// caller that it has not run, and the caller sent it again. A caller of an idempotent request gets the answer as it is.
+BOOST_AUTO_TEST_CASE(failureOfARequestThatHasRunIsNoPromise)
+{
+    int status = 0;
+    RawSite site(2, soundExcept([&](const RawRequest& request) -> std::vector<RawPart> {
+        return { { "HTTP/1.1 " + std::to_string(status) + " Failed\r\nRequest-Id: " + request.id
+            + "\r\nServer-Seal: seal\r\nContent-Length: 6\r\n\r\nfailed" } };
+    }));
+    BOOST_REQUIRE(site.waitUntilServed());
+    int n = 0;
+    for (const int it : { 503, 429, 408 }) {
+        status = it;
+        for (const char* target : kTargets) {
+            for (std::size_t host = 0; host < 2; ++host) {
+                const std::string id = "f" + std::to_string(n++);
+                const bool isIdempotent = site.call(target, id, host).method == "GET";
+                const HttpAnswer answer = site.send(target, id, host);
+                const std::string what
+                    = std::string(target) + " " + std::to_string(it) + " host " + std::to_string(host);
+                BOOST_TEST(answer.status == (isIdempotent ? it : 502), what << " got " << answer.status);
+                BOOST_TEST(answer.headers.count("server-seal") == (isIdempotent ? 1u : 0u), what);
+                BOOST_TEST(site.runCount(id) == 1u, what << " ran " << site.runCount(id) << " times");
+            }
+        }
+    }
+}
+
 // Guards against an answer to an earlier request that is written on a connection in use again: no connection to an
 // upstream carries a second request.
 BOOST_AUTO_TEST_CASE(refusalWrittenAgainOnAKeptConnectionReachesNoRequest)
