Directory: a refusal at an address proves the end only of an upstream that has answered there

An entry of another writer named another upstream's address under the id of one that lived. Two upstreams held the same keys for 1564 ms, and the living one got none again.

Cause: a 421 was taken for proof that the instance had ended, whatever address it had before. Evidence, log of the leader: "upstream" with the wrong endpoint at 113.704, "grant_failed" (other instance) and "upstream_ended" at 114.081, "range_cleared" "ended" at 114.409, no "upstream" line for the sound entry that the other hosts took at 114.525.

Change: the proof needs an answer that the instance has given this host at that very endpoint. Without it the entry with that endpoint counts as gone, grants are waited for, and a 421 to a release is no released range. What another host reports of a turn is no proof, since it may know another endpoint.

--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -28,8 +28,10 @@
     UpstreamInstance instance;
     // Monotonic clock: the instance gets no new work from then on, because it drains or its entry was deleted.
     std::optional<Millis> noNewWorkFrom;
-    bool entryGone = false; // its entry was deleted, or the instance is proven to have ended
+    // Its entry was deleted, or the instance is proven to have ended, or another upstream has the endpoint that it names.
+    bool entryGone = false;
     StoreRevision version; // of the change of its entry that this host knows
+    std::optional<Endpoint> answeredAt {}; // where it has answered this host; it stays there as long as it lives
 };
 
 std::string leaderKey(const ServiceName&);
@@ -112,12 +114,19 @@
     void recordLeader(const ServiceName&, LeaderEntry);
     // The entry of an instance; null when it is unknown, or when a later instance has the same upstream name.
     const InstanceEntry* findInstance(const InstanceId&) const;
-    // Records that an instance is proven to have ended: another upstream answers at its address.
-    void recordEnded(const InstanceId&);
+    // Records that an instance has answered this host at its endpoint.
+    void recordAnswer(const UpstreamInstance&);
+    // Records that another upstream answers at the endpoint of an instance, so that it gets no new work there. This
+    // proves that the instance has ended only if it has answered this host there before: an entry may name a wrong
+    // endpoint.
+    void recordReplaced(const UpstreamInstance&);
+    // The same by the word of another host, which may know another endpoint: the instance gets no new work until its
+    // entry is written again.
+    void recordReportedReplaced(const InstanceId&);
     // Records that an instance has said itself that it leaves. It gets no new work for the rest of its life, whatever
     // its entry says. Returns false if that was known.
     bool recordDeparture(const InstanceId&);
-    // True when an instance is recorded as ended.
+    // True when an instance is proven to have ended.
     bool isProvenEnded(const InstanceId& id) const { return m_endedInstances.count(id) > 0; }
     // The entry of an instance, or of a later one with the same upstream name; null when neither is known.
     const InstanceEntry* findSameOrLaterInstance(const InstanceId&) const;
@@ -196,6 +205,7 @@
     std::map<std::string, std::string> m_refusals; // why the entries of these keys cannot be read
     std::map<UpstreamName, InstanceEntry> m_instances;
     std::set<InstanceId> m_endedInstances; // proven to have ended, even if their entries still exist
+    std::set<std::pair<InstanceId, Endpoint>> m_replaced; // where other upstreams answer
     std::map<InstanceId, Millis> m_departures; // when instances first said that they leave, on the monotonic clock
     std::map<HostName, HostEntry> m_hosts;
     std::uint64_t m_hostsVersion = 1;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -39,6 +39,12 @@
     return std::get<Refusal>(reply).reason == RefusalReason::upstreamBroken;
 }
 
+bool isSuccess(const Reply& reply)
+{
+    const auto* answer = std::get_if<Answer>(&reply);
+    return answer && answer->status / 100 == 2;
+}
+
 const char* outcomeName(const Reply& reply)
 {
     const auto* refusal = std::get_if<Refusal>(&reply);
@@ -87,7 +93,11 @@
                         { "ms", (monotonicNow() - startedAt).count() }, { "slot", sent.slot.value },
                         { "revision", textOf(context.directory.revision()) },
                         { "age_ms", context.directory.age().count() } });
+            if (isSuccess(reply))
+                context.directory.recordAnswer(upstream);
             callback(std::move(reply), rate);
+            if (isOther)
+                context.directory.recordReplaced(upstream);
         });
 }
 
@@ -351,14 +361,14 @@
         noteFailure(job, member);
     else if (!refusal)
         noteServed(member.stats, pool.runTimes, job.request.order, now - job.startedAt, job.workFactor, now);
-    const bool replaced = refusal && refusal->reason == RefusalReason::upstreamReplaced;
+    const bool replaced = refusal && refusal->reason == RefusalReason::upstreamReplaced && job.onTurn;
     const InstanceId instance = job.instance;
     const Millis pause = pauseLeftFor(pool, job.origin, now);
     if (refusal && refusal->reason == RefusalReason::upstreamShed && pause > Millis(0))
         reply = pausedRefusal(pool, job.request.order, pause);
     finish(pool, id, std::move(reply));
     if (replaced)
-        m_context.directory.recordEnded(instance);
+        m_context.directory.recordReportedReplaced(instance);
     if (pause > Millis(0))
         refusePaused(pool);
     startWaiting(pool);
--- a/src/gateway/entries.cpp
+++ b/src/gateway/entries.cpp
@@ -51,7 +51,7 @@
     noteRefusal("upstream_entry_refused", { "upstream", name }, change, faults);
     if (!instance)
         return applyUpstreamGone(name, change);
-    if (m_endedInstances.count(instance->id))
+    if (m_endedInstances.count(instance->id) || m_replaced.count({ instance->id, instance->endpoint }))
         return;
     const Millis now = monotonicNow();
     const auto known = m_instances.find(name);
@@ -63,6 +63,8 @@
         return;
     }
     InstanceEntry entry { *instance, std::nullopt, false, change.version };
+    if (isKnown)
+        entry.answeredAt = known->second.answeredAt;
     if (instance->draining)
         entry.noNewWorkFrom = isKnown && known->second.noNewWorkFrom.value_or(now) <= now
             ? known->second.noNewWorkFrom.value_or(now)
@@ -108,15 +110,28 @@
     return it == m_instances.end() || it->second.instance.id.startTime < id.startTime ? nullptr : &it->second;
 }
 
-void Directory::recordEnded(const InstanceId& id)
+void Directory::recordAnswer(const UpstreamInstance& instance)
 {
-    if (!m_endedInstances.insert(id).second)
+    const auto it = m_instances.find(instance.id.name);
+    if (it != m_instances.end() && it->second.instance.id == instance.id)
+        it->second.answeredAt = instance.endpoint;
+}
+
+void Directory::recordReplaced(const UpstreamInstance& instance)
+{
+    const InstanceId& id = instance.id;
+    const auto it = m_instances.find(id.name);
+    const bool isKnown = it != m_instances.end() && it->second.instance.id == id;
+    const bool isProof = isKnown && it->second.answeredAt == instance.endpoint;
+    const bool isNew = m_replaced.insert({ id, instance.endpoint }).second;
+    if (!isNew && (!isProof || m_endedInstances.count(id)))
         return;
-    logEvent(EventKind::state, "upstream_ended",
-        { { "upstream", id.name }, { "born", id.startTime.value },
+    if (isProof)
+        m_endedInstances.insert(id);
+    logEvent(EventKind::state, isProof ? "upstream_ended" : "upstream_misaddressed",
+        { { "upstream", id.name }, { "born", id.startTime.value }, { "endpoint", instance.endpoint.text() },
             { "reason", "another upstream answers at its address" } });
-    const auto it = m_instances.find(id.name);
-    if (it == m_instances.end() || it->second.instance.id != id)
+    if (!isKnown || (!isProof && it->second.instance.endpoint != instance.endpoint))
         return;
     it->second.entryGone = true;
     m_nextRemovalAt = Millis(0);
@@ -124,6 +139,20 @@
     m_onChange();
 }
 
+void Directory::recordReportedReplaced(const InstanceId& id)
+{
+    const Millis now = monotonicNow();
+    const auto it = m_instances.find(id.name);
+    if (it == m_instances.end() || it->second.instance.id != id
+        || it->second.noNewWorkFrom.value_or(Millis::max()) <= now)
+        return;
+    it->second.noNewWorkFrom = now;
+    logEvent(EventKind::state, "upstream_misaddressed",
+        { { "upstream", id.name }, { "born", id.startTime.value },
+            { "reason", "another upstream answered another host at its address" } });
+    m_onChange();
+}
+
 bool Directory::recordDeparture(const InstanceId& id)
 {
     const auto [departure, added] = m_departures.emplace(id, monotonicNow());
--- a/src/gateway/leader.h
+++ b/src/gateway/leader.h
@@ -144,7 +144,8 @@
     void sendRelease(const Range&, const InstanceId&, PreviousOwner&, const UpstreamInstance&);
     void onRelease(const RangeKey&, const InstanceId&, const ReleaseResult&);
     void sendGrant(const Range&, RangeState&, const UpstreamInstance&);
-    void onGrant(const Range&, const SentGrant&, OrderVerdict);
+    void onGrant(const Range&, const UpstreamInstance&, const SentGrant&, OrderVerdict);
+    void noteWhoAnswered(const UpstreamInstance&, OrderVerdict);
     Millis estimateReadyIn(const Range&, const RangeState&) const;
     RangeState carryOverState(const Range&, bool isFirstWrite) const;
     void announceRanges();
--- a/src/gateway/orders.cpp
+++ b/src/gateway/orders.cpp
@@ -173,7 +173,13 @@
             const HttpOutcome& outcome) {
             noteContact(m_context, upstream, outcome, begunAt, timeout);
             takeOrderNotice(m_context, upstream.id, outcome, id);
-            onRelease(key, instance, m_context.adapter.interpretRelease(outcome, id));
+            ReleaseResult result = m_context.adapter.interpretRelease(outcome, id);
+            noteWhoAnswered(upstream, result.verdict);
+            const bool isElsewhere
+                = result.verdict == OrderVerdict::otherInstance && !m_context.directory.isProvenEnded(upstream.id);
+            if (isElsewhere) // it may live, and hold the range
+                result.verdict = OrderVerdict::refused;
+            onRelease(key, instance, result);
         });
 }
 
@@ -215,11 +221,21 @@
         std::move(call), [this, range, sent, upstream, begunAt = monotonicNow()](const HttpOutcome& outcome) {
             noteContact(m_context, upstream, outcome, begunAt, Millis(m_context.settings.limits.orderTimeoutMs));
             takeOrderNotice(m_context, range.owner, outcome, orderText(sent.order));
-            onGrant(range, sent, m_context.adapter.interpretGrant(outcome, orderText(sent.order)));
+            onGrant(range, upstream, sent, m_context.adapter.interpretGrant(outcome, orderText(sent.order)));
         });
 }
 
-void RangeLeader::onGrant(const Range& range, const SentGrant& sent, OrderVerdict verdict)
+// An upstream refuses orders for another one, so any other answer is of the one that the order was for.
+void RangeLeader::noteWhoAnswered(const UpstreamInstance& upstream, OrderVerdict verdict)
+{
+    if (verdict == OrderVerdict::done || verdict == OrderVerdict::outdatedFence)
+        m_context.directory.recordAnswer(upstream);
+    else if (verdict == OrderVerdict::otherInstance)
+        m_context.directory.recordReplaced(upstream);
+}
+
+void RangeLeader::onGrant(
+    const Range& range, const UpstreamInstance& upstream, const SentGrant& sent, OrderVerdict verdict)
 {
     const Millis now = bootNow();
     const auto [order, ttl] = std::pair(sent.order, sent.ttl);
@@ -236,8 +252,7 @@
     m_context.metrics.count(
         "pistachiospur_renewals_total", { { "result", verdict == OrderVerdict::done ? "accepted" : "failed" } });
     recordReachability(range, verdict);
-    if (verdict == OrderVerdict::otherInstance)
-        m_context.directory.recordEnded(range.owner);
+    noteWhoAnswered(upstream, verdict);
     const auto found = m_rangeStates.find(keyOf(range));
     if (found == m_rangeStates.end())
         return;
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -217,4 +217,36 @@
         BOOST_TEST(it.value("upstream", "") == "odd");
 }
 
+// Guards against two holders of a slot: an entry of another writer named another upstream's address under the name of
+// one that lives, and the refusal from there was taken for proof that it had ended.
+BOOST_AUTO_TEST_CASE(slotsOfAnUpstreamWhoseEntryNamesAnothersAddressHaveOneHolder)
+{
+    Fixture site;
+    BOOST_REQUIRE(site.waitUntilServed());
+    RangeUpstream* owner = site.holder(kSlot);
+    BOOST_REQUIRE(owner);
+    const RangeUpstream& other = *site.upstreams[owner == site.upstreams[0].get() ? 1 : 0];
+    int most = 0;
+    const auto watchFor = [&](Millis time) {
+        const Millis end = monotonicNow() + time;
+        site.runLoopUntil([&] {
+            most = std::max(most, site.holderCount(kSlot));
+            return monotonicNow() >= end;
+        });
+    };
+    Json entry = Json::parse(owner->entry());
+    entry["address"] = Json::parse(other.entry())["address"];
+    site.store.put("servers/" + owner->name(), entry.dump());
+    watchFor(Millis(900)); // until the upstream's next heartbeat, and longer than the leader takes to renew
+    site.store.put("servers/" + owner->name(), owner->entry());
+    watchFor(Millis(4000)); // longer than any grant
+    BOOST_TEST(most == 1);
+    BOOST_TEST(site.runLoopUntil([&] {
+        bool holdsAny = false;
+        for (std::uint32_t slot = 0; slot < kKeySlots; slot += 256)
+            holdsAny |= owner->holds(slot);
+        return holdsAny;
+    }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
