HTTP client: a head whose lines are no fields is no answer

An upstream spoilt the head of an answer; callers got a success with a part of the body marked as complete, or a head with a line that is no field.

Cause: libcurl reads a length as far as its digits go, keeps the last of several, and passes on lines that are no fields; the client checked the status line alone. Evidence: the first bytes of the body arrived as a 200 with seal, and no "upstream_failed" was written.

Change: each line must be a field (RFC 9112, 5), the length a number below 2^63, the same if it is given twice, and not beside a transfer coding; otherwise the call fails as broken.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -157,17 +157,26 @@
         if (transfer.headComplete) // a trailer
             return size * count;
         transfer.headComplete = line == "\r\n" || line == "\n";
-        if (transfer.headComplete && namesAnotherCall(transfer))
-            return 0;
-        const auto colon = line.find(':');
-        if (colon == std::string::npos)
-            return size * count;
-        std::string name = line.substr(0, colon);
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
-        const auto from = line.find_first_not_of(' ', colon + 1);
-        const auto to = line.find_last_not_of("\r\n ");
-        transfer.answer.headers[name] = from == std::string::npos || to < from ? "" : line.substr(from, to - from + 1);
-        return size * count;
+        const bool isSound = transfer.headComplete ? !namesAnotherCall(transfer) : takeField(transfer.answer, line);
+        return isSound ? size * count : 0;
+    }
+
+    // Adds a line of the head to an answer; false if it is no field, or makes the length of the body ambiguous. libcurl
+    // passes such lines on, and reads a length as far as its digits go.
+    static bool takeField(HttpAnswer& answer, const std::string& line)
+    {
+        auto field = parseFieldLine(line);
+        if (!field)
+            return false;
+        const bool isLength = field->name == "content-length", isCoding = field->name == "transfer-encoding";
+        const auto known = answer.headers.find(field->name);
+        const bool differs = known != answer.headers.end() && known->second != field->value;
+        if (isLength && (!parseContentLength(field->value) || differs || answer.headers.count("transfer-encoding")))
+            return false;
+        if (isCoding && answer.headers.count("content-length"))
+            return false;
+        answer.headers[std::move(field->name)] = std::move(field->value);
+        return true;
     }
 
     static int onSocket(CURL*, curl_socket_t fd, int what, void* userData, void*)
--- a/src/io/http_message.cpp
+++ b/src/io/http_message.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <boost/beast/http/basic_parser.hpp>
@@ -28,6 +29,14 @@
 
 absl::string_view view(beast::string_view text) { return { text.data(), text.size() }; }
 
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(c)) || kMarks.find(c) != std::string_view::npos;
+    });
+}
+
 int hexDigit(char c)
 {
     if (c >= '0' && c <= '9')
@@ -250,6 +259,30 @@
     return (digits[0] - '0') * 100 + (digits[1] - '0') * 10 + (digits[2] - '0');
 }
 
+std::optional<HeaderField> parseFieldLine(std::string_view line)
+{
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
+        line.remove_suffix(1);
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (name.size() == line.size() || !isToken(name))
+        return std::nullopt;
+    const std::string_view value = line.substr(name.size() + 1);
+    const auto breaksField = [](char c) { return absl::ascii_iscntrl(static_cast<unsigned char>(c)) && c != '\t'; };
+    if (std::any_of(value.begin(), value.end(), breaksField))
+        return std::nullopt;
+    return HeaderField { absl::AsciiStrToLower({ name.data(), name.size() }),
+        std::string(absl::StripAsciiWhitespace({ value.data(), value.size() })) };
+}
+
+std::optional<std::uint64_t> parseContentLength(std::string_view value)
+{
+    const bool isNumber = std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; });
+    std::int64_t bytes = 0;
+    if (!isNumber || !absl::SimpleAtoi(absl::string_view(value.data(), value.size()), &bytes))
+        return std::nullopt;
+    return static_cast<std::uint64_t>(bytes);
+}
+
 bool isSafeMethod(const std::string& method) { return method == "GET" || method == "HEAD" || method == "OPTIONS"; }
 
 bool asksToClose(const HeaderList& headers)
@@ -264,10 +297,8 @@
     const auto reason = http::obsolete_reason(static_cast<http::status>(response.status));
     std::string head = absl::StrCat("HTTP/1.1 ", response.status, " ", view(reason), "\r\n");
     for (const auto& [name, value] : response.headers) {
-        const bool breaksLine
-            = name.find_first_of("\r\n") != std::string::npos || value.find_first_of("\r\n") != std::string::npos;
-        if (!breaksLine && !absl::EqualsIgnoreCase(name, "connection")
-            && !absl::EqualsIgnoreCase(name, "content-length"))
+        const bool isField = isToken(name) && value.find_first_of("\r\n") == std::string::npos;
+        if (isField && !absl::EqualsIgnoreCase(name, "connection") && !absl::EqualsIgnoreCase(name, "content-length"))
             absl::StrAppend(&head, name, ": ", value, "\r\n");
     }
     const bool hasBody = response.status >= 200 && response.status != kNoContent && response.status != kNotModified;
--- a/src/io/http_message.h
+++ b/src/io/http_message.h
@@ -74,6 +74,22 @@
 // The status in the status line of a response, with or without its line end; nothing if the line is none of HTTP/1 or
 // its status is no three digits from 100 to 599 (RFC 9112, 4; RFC 9110, 15).
 std::optional<int> parseStatusLine(std::string_view);
+
+struct HeaderField {
+    std::string name; // in lower case
+    std::string value;
+
+    friend bool operator==(const HeaderField& a, const HeaderField& b)
+    {
+        return std::tie(a.name, a.value) == std::tie(b.name, b.value);
+    }
+};
+
+// The field in a line of a head, with or without its line end; nothing if the line is none: it is folded, its name is
+// no token, or its value has a control character other than a tab (RFC 9112, 5; RFC 9110, 5).
+std::optional<HeaderField> parseFieldLine(std::string_view);
+// The value of a Content-Length field; nothing if it is no decimal number below 2^63 (RFC 9110, 8.6).
+std::optional<std::uint64_t> parseContentLength(std::string_view);
 // Whether requests with this method may be handled side by side, because none has an effect.
 bool isSafeMethod(const std::string& method);
 // The head of a response, up to and including the empty line. Without a body length the body follows in chunks.
