Tests: the port of an upstream that has ended stays reserved

Traced: by the log, upstream p1 had ended and host h2 sent it a copy, answered with 426 at once. Only a host's port for peers answers so: a host of a test in another process listened on the port that the stand-in had freed. The test now keeps that port bound, without listening, so that connections to it are refused as before. Its checks are unchanged; the suite passes.

--- a/standins/kv.h
+++ b/standins/kv.h
@@ -178,6 +178,7 @@
     // The text of its entry in the store.
     std::string entry(const std::string& state = "ready") const;
     const std::string& name() const { return m_name; }
+    Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
     // True while it has a grant in force for the slot and has not crashed.
     bool holds(std::uint32_t slot) const;
     // The highest fencing token accepted for the slot since the upstream's start; 0 if none.
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -178,7 +178,10 @@
             }
             m_ends.push_back(now);
             m_returns.push_back({ now + kDownTime, (*it)->name()[0] == 'k', (*it)->name() });
+            // A host of another test could listen there otherwise, and its answer would reach a caller.
+            const std::uint16_t port = (*it)->endpoint().port;
             it = upstreams.erase(it);
+            ports.reserve(port);
         }
         while (!m_returns.empty() && m_returns.front().at <= now) {
             const Return due = m_returns.front();
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -32,13 +32,15 @@
     ReservedPorts& operator=(const ReservedPorts&) = delete;
     ~ReservedPorts() { std::for_each(m_fds.begin(), m_fds.end(), ::close); }
 
-    Endpoint reserve()
+    // Reserves a port of the system's choice, or the one that is given.
+    Endpoint reserve(std::uint16_t port = 0)
     {
         const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int enabled = 1;
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
         sockaddr_in address {};
         address.sin_family = AF_INET;
+        address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         BOOST_REQUIRE(bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
         m_fds.push_back(fd);
