Election: a late result of a leader record write ends no lease that the host leads under

The answer to the write of a leader record is lost, the watch shows the record and the host leads; at the time-out of the write it ended its own lease.

Evidence, test leaderWhoseRecordWasWrittenWithoutAnAnswerGoesOnLeading on the code before: "leading" at 078.725, "leader_gone" and "not_leading" at 078.925, "leading" again; it failed, and passes now. No key had two owners by it; slots that move after a needless election wait for the grants of before.

Change: a result counts only for the lease that the host still has, and a failed write gives it up only if the record is not known to be the store's. Suites Restarts, RestoredStore and Lives pass.

--- a/src/gateway/election.cpp
+++ b/src/gateway/election.cpp
@@ -121,9 +121,15 @@
             return updateLeadership();
         }
         const auto* conflict = std::get_if<WriteConflict>(&result);
-        if (conflict && mayRetry && entry.claim == m_claim && entry.lease == m_lease.id())
+        // The result may come late: for a lease that has been replaced since, or for a record that is known to have
+        // been written meanwhile, under which this host may lead.
+        if (entry.lease != m_lease.id())
+            return;
+        if (conflict && mayRetry && entry.claim == m_claim)
             return onLeaderRecordConflict(*conflict);
-        revokeLease();
+        const LeaderEntry* known = m_context.directory.leaderOf(m_service);
+        if (!known || known->claim != entry.claim)
+            revokeLease();
     });
 }
 
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -387,6 +387,26 @@
     BOOST_TEST(site.store.heldCalls() == 1u);
 }
 
+// Guards against a needless change of leader: the answer to the write of a leader record was lost, and the host that
+// led under this record by then ended its own lease.
+BOOST_AUTO_TEST_CASE(leaderWhoseRecordWasWrittenWithoutAnAnswerGoesOnLeading)
+{
+    Fixture site(0);
+    bool isWriteHeld = false;
+    site.store.executesHeld = true;
+    site.store.holds = [&](const HttpRequest& request) {
+        const bool isRecordWrite
+            = request.path == "/kv-txn" && request.body.find("pistachiospur/keepers/keyed") != std::string::npos;
+        return isRecordWrite && !std::exchange(isWriteHeld, true);
+    };
+    site.addHost(0);
+    BOOST_REQUIRE(site.runLoopUntil([&] { return leadingHost(site).has_value(); }));
+    const std::string record = site.store.value("pistachiospur/keepers/keyed");
+    BOOST_TEST(!site.runLoopUntil([&] { return site.store.value("pistachiospur/keepers/keyed") != record; },
+        Millis(2000))); // over store_timeout_ms
+    BOOST_TEST(site.waitUntilServed());
+}
+
 // Guards against two holders of a slot in any order of restarts, late grants, losses of hosts and outages of the store.
 // More seeds: PISTACHIOSPUR_RESTART_SEEDS="FIRST COUNT".
 BOOST_AUTO_TEST_CASE(slotsHaveOneHolderUnderRandomRestarts)
