--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -28,7 +28,8 @@
     UpstreamInstance instance;
     // Monotonic clock: the instance gets no new work from then on, because it drains or its entry was deleted.
     std::optional<Millis> noNewWorkFrom;
-    // Its entry was deleted, or the instance is proven to have ended, or another upstream has the endpoint that it names.
+    // Its entry was deleted, or the instance is proven to have ended, or another upstream has the endpoint that it
+    // names.
     bool entryGone = false;
     StoreRevision version; // of the change of its entry that this host knows
     std::optional<Endpoint> answeredAt {}; // where it has answered this host; it stays there as long as it lives
--- a/src/gateway/leader.cpp
+++ b/src/gateway/leader.cpp
@@ -307,10 +307,10 @@
         write, [this, start = m_startCount, text](const WriteResult& result) { onTableWritten(start, text, result); });
 }
 
-// Takes no further part in a table write that is in flight or has an unknown outcome: its text rests on what this host
-// knew before, without the grants that earlier leaders may have sent since. The store can still carry it out before the
-// first write of the new start, which then conflicts and begins from that table. Afterwards it cannot, because the
-// claim is gone or the table has another revision.
+// Ignores a table write that is in flight or has an unknown outcome from now on: its text was made before this start
+// and does not name the leaders whose grants this start has to wait for. The store can still carry it out before the
+// first write of this start, which then conflicts and begins from that table. Afterwards it cannot, because the claim
+// is gone or the table has another revision.
 void RangeLeader::abandonTableWrite()
 {
     ++m_startCount;
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -56,7 +56,8 @@
     call.method = "DELETE";
     call.endpoint = site.store.endpoint();
     call.target = "/kv-lease-end/" + std::to_string(record["lease"].get<std::uint64_t>());
-    BOOST_REQUIRE(site.sendCall(std::move(call)).status == 200);
+    const int status = site.sendCall(std::move(call)).status;
+    BOOST_REQUIRE(status == 200);
 }
 
 // A leader that was elected, wrote the table and then lost its way to the store and to the other hosts, but not to the
